--- /dev/null
+++ b/cmd/curlewspool/main.go
@@ -0,0 +1,88 @@
+// Command curlewspool is a controller of the cluster scheduler.
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+
+	// The platform's rules want a program linked with the system C library.
+	_ "curlewspool/internal/clib"
+	"curlewspool/internal/node"
+	"curlewspool/internal/settings"
+)
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "curlewspool:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var config, ini string
+	root := &cobra.Command{
+		Use:           "curlewspool --config FILE",
+		Short:         "A cluster scheduler's controller",
+		Long:          "Runs one controller until it is killed. The platform's settings (TOML) are required;\noperators' own settings (INI) are optional: --ini, or curlewspool.ini beside the platform's file.",
+		Args:          cobra.NoArgs,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		RunE: func(*cobra.Command, []string) error {
+			if err := logging(); err != nil {
+				return err
+			}
+			s, err := load(config, ini)
+			if err != nil {
+				return err
+			}
+			// Most of the limit is for the heap; the rest is the program, stacks
+			// and what the collector is late with.
+			debug.SetMemoryLimit(int64(s.Deployment.Limits.RAM * 0.6 * (1 << 20)))
+			runtime.GOMAXPROCS(1) // the machine has a share of one core
+			return node.Run(s)
+		},
+	}
+	root.PersistentFlags().StringVar(&config, "config", "", "the platform's settings file (TOML)")
+	root.PersistentFlags().StringVar(&ini, "ini", "", "operators' settings file (INI)")
+	root.CompletionOptions.DisableDefaultCmd = true
+	root.AddCommand(&cobra.Command{
+		Use: "check", Short: "Check the settings and exit", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := load(config, ini)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(c.OutOrStdout(), "settings are good: %s in %s, %d controllers, %d teams\n",
+				s.Name, s.Zone, len(s.Names()), len(s.Deployment.Teams))
+			return err
+		},
+	})
+	return root
+}
+
+func load(config, ini string) (*settings.Settings, error) {
+	if config == "" {
+		return nil, fmt.Errorf("--config FILE is missing")
+	}
+	return settings.Load(config, ini)
+}
+
+func logging() error {
+	level := slog.LevelInfo
+	switch v := os.Getenv("LOG_LEVEL"); v {
+	case "", "info":
+	case "error":
+		level = slog.LevelError
+	case "debug":
+		level = slog.LevelDebug
+	default:
+		return fmt.Errorf("LOG_LEVEL is %q, must be error, info or debug", v)
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})))
+	return nil
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,431 @@
+// Package fleet deals with the cloud for the leader: what to rent for work
+// that found no room, and what to delete.
+package fleet
+
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"sort"
+	"time"
+
+	"curlewspool/internal/part"
+	"curlewspool/internal/settings"
+	"curlewspool/internal/wire"
+	"curlewspool/internal/world"
+)
+
+// Gap is queued work without room.
+type Gap struct {
+	Job    *wire.Job
+	Tasks  int
+	Waited float64
+}
+
+// Known is a machine with a record.
+type Known struct {
+	ID  string
+	Rec *part.MachineRecord
+}
+
+// Fleet belongs to the leader; a new leader starts an empty one and learns
+// what boots from the cloud's list.
+type Fleet struct {
+	w    world.World
+	s    *settings.Settings
+	addr string
+	name string // prefix of request names, never used before
+	n    int
+
+	types   map[string]*wire.MachineType
+	booting map[string]booting
+	deleted map[string]time.Duration
+	unsure  []*unsure // rentals without answer: asked again under their name
+	refused map[option]refusal
+
+	budget   float64
+	budgetAt time.Duration
+	listAt   time.Duration
+	listing  bool
+	page     []wire.ListedMachine
+	renting  int
+	deleting bool
+}
+
+type booting struct {
+	option
+	since time.Duration
+}
+
+type option struct {
+	typ, zone string
+	spot      bool
+}
+
+type refusal struct {
+	until time.Duration
+	times int
+}
+
+type unsure struct {
+	req wire.Rental
+	at  time.Duration
+}
+
+// New makes the fleet of a leader; token makes its request names unique.
+func New(w world.World, s *settings.Settings, token uint64) *Fleet {
+	return &Fleet{w: w, s: s, addr: s.Services.Cloud, name: fmt.Sprintf("r-%s-%d", s.Name, token),
+		booting: map[string]booting{}, deleted: map[string]time.Duration{}, refused: map[option]refusal{},
+		budget: s.Deployment.Cloud.RPS, listAt: -time.Hour}
+}
+
+// Gone tells whether the machine was deleted for certain.
+func (f *Fleet) Gone(id string) bool { _, ok := f.deleted[id]; return ok }
+
+func (f *Fleet) spend() bool {
+	now := f.w.Now()
+	rate := f.s.Deployment.Cloud.RPS / 2
+	f.budget = min(rate*2, f.budget+rate*(now-f.budgetAt).Seconds())
+	f.budgetAt = now
+	if f.budget < 1 {
+		return false
+	}
+	f.budget--
+	return true
+}
+
+const timeout = 4 * time.Second
+
+// Tick rents, lists and deletes. forget is told machines that are surely gone.
+func (f *Fleet) Tick(types map[string]*wire.MachineType, known []Known, gaps []Gap, forget func(ids []string)) {
+	f.types = types
+	now := f.w.Now()
+	records := map[string]*part.MachineRecord{}
+	for _, k := range known {
+		records[k.ID] = k.Rec
+		delete(f.booting, k.ID)
+	}
+	f.remove(records, now, forget)
+	f.list(records, now)
+	f.rent(known, gaps, now)
+}
+
+// --- deletions ---
+
+func (f *Fleet) remove(records map[string]*part.MachineRecord, now time.Duration, forget func([]string)) {
+	if f.deleting {
+		return
+	}
+	var ids []string
+	for id, r := range records {
+		if r.Retire != "" {
+			ids = append(ids, id)
+		}
+	}
+	for id, b := range f.booting {
+		if t := f.types[b.typ]; t != nil && now-b.since > world.Seconds(t.Boot*f.s.Rent.LateBoots) {
+			slog.Info("fleet: never came up", "machine", id, "type", b.typ)
+			ids = append(ids, id)
+		}
+	}
+	for id, at := range f.deleted { // and ones the list still shows, see list
+		if at == 0 {
+			ids = append(ids, id)
+		}
+	}
+	if len(ids) == 0 || !f.spend() {
+		return
+	}
+	sort.Strings(ids)
+	ids = ids[:min(len(ids), 100)]
+	f.deleting = true
+	f.w.Call(f.addr, "POST", "/rentals/delete", &wire.MachineNames{Machines: ids}, nil, timeout, func(status int) {
+		f.deleting = false
+		if status != 200 {
+			return // the next tick asks again
+		}
+		for _, id := range ids {
+			delete(f.booting, id)
+			f.deleted[id] = f.w.Now()
+		}
+		for opt := range f.refused { // what was returned may be rented again
+			delete(f.refused, opt)
+		}
+		forget(ids)
+	})
+}
+
+// --- the cloud's list ---
+
+func (f *Fleet) list(records map[string]*part.MachineRecord, now time.Duration) {
+	every := world.Seconds(max(f.s.Deployment.Cloud.ListLag, 10/f.s.Deployment.Cloud.RPS))
+	if f.listing || now-f.listAt < every || !f.spend() {
+		return
+	}
+	f.listing, f.listAt = true, now
+	f.page = f.page[:0]
+	f.next("", records)
+}
+
+func (f *Fleet) next(since string, records map[string]*part.MachineRecord) {
+	out := &wire.MachineList{}
+	path := "/rentals?limit=500"
+	if since != "" {
+		path += "&since=" + since
+	}
+	f.w.Call(f.addr, "GET", path, nil, out, timeout, func(status int) {
+		if status != 200 {
+			f.listing = false
+			return
+		}
+		f.page = append(f.page, out.Machines...)
+		if out.More && len(out.Machines) > 0 {
+			f.w.After(world.Seconds(1/f.s.Deployment.Cloud.RPS), func() { f.next(out.Machines[len(out.Machines)-1].ID, records) })
+			return
+		}
+		f.listing = false
+		f.listed(records)
+	})
+}
+
+// listed learns what boots and what failed. A list is old: it never proves
+// that something is gone.
+func (f *Fleet) listed(records map[string]*part.MachineRecord) {
+	now := f.w.Now()
+	for _, m := range f.page {
+		if _, gone := f.deleted[m.ID]; gone {
+			continue
+		}
+		switch {
+		case m.State == wire.MachineDead:
+			f.deleted[m.ID] = 0 // to be deleted
+		case records[m.ID] == nil:
+			if _, ok := f.booting[m.ID]; !ok {
+				since := now - world.Seconds(m.Age)
+				if m.State != wire.Starting {
+					since = now // it is up and will report
+				}
+				f.booting[m.ID] = booting{option{m.Type, m.Zone, m.Spot}, since}
+			}
+		}
+	}
+	for id, at := range f.deleted {
+		if at != 0 && now-at > 10*time.Minute {
+			delete(f.deleted, id)
+		}
+	}
+}
+
+// --- rentals ---
+
+// fit is the number of tasks that a machine of type t holds.
+func fit(t *wire.MachineType, j *wire.Job) int {
+	k := float64(math.MaxInt32)
+	if j.Cores > 0 {
+		k = min(k, math.Floor(t.Cores/j.Cores+1e-9))
+	}
+	if j.GPUs > 0 {
+		k = min(k, math.Floor(t.GPUs/j.GPUs+1e-9))
+	}
+	if j.Memory > 0 {
+		k = min(k, math.Floor(t.Memory/j.Memory+1e-9))
+	}
+	return int(k)
+}
+
+type bin struct {
+	option
+	t                *wire.MachineType
+	cores, gpus, mem float64
+}
+
+func (b *bin) take(j *wire.Job, n int) int {
+	k := 0
+	for k < n && b.cores+1e-9 >= j.Cores && b.gpus+1e-9 >= j.GPUs && b.mem+1e-9 >= j.Memory {
+		b.cores -= j.Cores
+		b.gpus -= j.GPUs
+		b.mem -= j.Memory
+		k++
+		if j.Cores+j.GPUs+j.Memory == 0 {
+			return n
+		}
+	}
+	return k
+}
+
+func (f *Fleet) rent(known []Known, gaps []Gap, now time.Duration) {
+	// A rental without an answer is asked again under its name, so that what
+	// it rented is known.
+	for len(f.unsure) > 0 && f.renting < 2 && f.spend() {
+		u := f.unsure[0]
+		f.unsure = f.unsure[1:]
+		f.ask(u.req, u.at)
+	}
+	sort.SliceStable(gaps, func(i, k int) bool {
+		if gaps[i].Job.Rank != gaps[k].Job.Rank {
+			return gaps[i].Job.Rank > gaps[k].Job.Rank
+		}
+		return gaps[i].Waited > gaps[k].Waited
+	})
+	var bins []*bin
+	add := func(o option) *bin {
+		t := f.types[o.typ]
+		if t == nil {
+			return nil
+		}
+		b := &bin{o, t, t.Cores, t.GPUs, t.Memory}
+		bins = append(bins, b)
+		return b
+	}
+	ids := make([]string, 0, len(f.booting))
+	for id := range f.booting {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		add(f.booting[id].option)
+	}
+	for _, u := range f.unsure {
+		for i := 0; i < u.req.Count; i++ {
+			add(option{u.req.Type, u.req.Zone, u.req.Spot})
+		}
+	}
+	want := map[option]int{}
+	var order []option
+	for _, g := range gaps {
+		n := g.Tasks
+		for _, b := range bins {
+			if n <= 0 {
+				break
+			}
+			if part.Allows(g.Job, b.t, b.zone, b.spot) {
+				n -= b.take(g.Job, n)
+			}
+		}
+		for n > 0 {
+			o, ok := f.cheapest(g, n, known, now)
+			if !ok {
+				break
+			}
+			b := add(o)
+			k := b.take(g.Job, n)
+			if k == 0 {
+				break
+			}
+			n -= k
+			if want[o] == 0 {
+				order = append(order, o)
+			}
+			want[o]++
+			if want[o] >= 50 {
+				break
+			}
+		}
+	}
+	for _, o := range order {
+		if f.renting >= 2 || !f.spend() {
+			return
+		}
+		f.n++
+		f.ask(wire.Rental{Request: fmt.Sprintf("%s-%d", f.name, f.n), Type: o.typ, Zone: o.zone, Spot: o.spot, Count: min(want[o], 50)}, now)
+	}
+}
+
+// cheapest finds what to rent for up to n tasks of a job: the least money for
+// the time until they are done, boot time included.
+func (f *Fleet) cheapest(g Gap, n int, known []Known, now time.Duration) (option, bool) {
+	var best option
+	cost := math.Inf(1)
+	names := make([]string, 0, len(f.types))
+	for name := range f.types {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		t := f.types[name]
+		for _, z := range t.Zones {
+			for _, spot := range []bool{true, false} {
+				o := option{name, z, spot}
+				if !part.Allows(g.Job, t, z, spot) || now < f.refused[o].until {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.Spot
+				} else if g.Job.Spot && !f.worth(g, known) {
+					continue
+				}
+				k := min(fit(t, g.Job), n)
+				if k == 0 {
+					continue
+				}
+				// A machine that is not filled is partly there for the next job.
+				share := 0.5 + 0.5*float64(k)/float64(fit(t, g.Job))
+				c := price * share * (t.Boot + max(g.Job.Estimate, 30)) / float64(k)
+				if c < cost {
+					best, cost = o, c
+				}
+			}
+		}
+	}
+	return best, !math.IsInf(cost, 1)
+}
+
+// worth: an ordinary machine for a job that a spot machine would do needs a
+// queue that what is there does not clear soon.
+func (f *Fleet) worth(g Gap, known []Known) bool {
+	var cores float64
+	for _, k := range known {
+		if t := f.types[k.Rec.Type]; k.Rec.Retire == "" && part.Allows(g.Job, t, k.Rec.Zone, k.Rec.Spot) {
+			cores += t.Cores
+		}
+	}
+	if cores == 0 {
+		return true
+	}
+	j := g.Job
+	wait := float64(g.Tasks) * max(j.Cores, 0.01) * max(j.Estimate, 1) / cores
+	return g.Waited+wait > 0.5*max(j.Estimate, 1)
+}
+
+func (f *Fleet) ask(req wire.Rental, at time.Duration) {
+	f.renting++
+	out := &wire.MachineNames{}
+	f.w.Call(f.addr, "POST", "/rentals", &req, out, timeout, func(status int) {
+		f.renting--
+		o := option{req.Type, req.Zone, req.Spot}
+		now := f.w.Now()
+		switch status {
+		case 200:
+			slog.Info("fleet: rented", "type", req.Type, "zone", req.Zone, "spot", req.Spot, "wanted", req.Count, "got", len(out.Machines))
+			for _, id := range out.Machines {
+				f.booting[id] = booting{o, at}
+			}
+			if len(out.Machines) < req.Count {
+				f.refuse(o, now)
+			} else {
+				delete(f.refused, o)
+			}
+		case 503:
+			f.refuse(o, now)
+		case 400:
+			slog.Error("fleet: rental refused as malformed", "type", req.Type)
+			f.refuse(o, now)
+		default:
+			f.unsure = append(f.unsure, &unsure{req, at})
+		}
+	})
+}
+
+// refuse: none to be had of this type, zone and kind; asked again after a
+// pause that grows.
+func (f *Fleet) refuse(o option, now time.Duration) {
+	r := f.refused[o]
+	r.times = min(r.times+1, 4)
+	boot := 20.0
+	if t := f.types[o.typ]; t != nil {
+		boot = t.Boot
+	}
+	r.until = now + world.Seconds(boot/4*float64(r.times)*(0.75+f.w.Rand().Float64()/2))
+	f.refused[o] = r
+}
--- /dev/null
+++ b/internal/intake/intake.go
@@ -0,0 +1,431 @@
+// Package intake answers users: submissions, polls and aborts. Any
+// controller answers any user; what it may say is decided by the ledger.
+package intake
+
+import (
+	"fmt"
+	"log/slog"
+	"time"
+
+	"curlewspool/internal/ledger"
+	"curlewspool/internal/part"
+	"curlewspool/internal/settings"
+	"curlewspool/internal/wire"
+	"curlewspool/internal/world"
+)
+
+// Host is what intake needs of its controller.
+type Host interface {
+	Ledger() *ledger.Ledger
+	Settings() *settings.Settings
+	Wall() float64
+	Types() map[string]*wire.MachineType
+	Job(id string) *part.JobRecord
+	Counts(id string) (done, running int, started bool)
+	// Plan asks the leader for the job's parts; without an answer in time
+	// they are left open (-1) for the leader to fill in.
+	Plan(j *wire.Job, done func(rank, chunk int, parts []int))
+	// News tells the owners of a job's parts that its record changed.
+	News(id string)
+}
+
+// Reply answers one request; retry is the Retry-After in seconds, 0: none.
+type Reply func(status int, body any, retry int)
+
+// Intake belongs to the owner's loop.
+type Intake struct {
+	h      Host
+	w      world.World
+	finals map[string]part.Final // bounded memory of ended jobs
+	ring   []string
+	ringAt int
+
+	asked  []*lookup
+	asking bool
+}
+
+type lookup struct {
+	id    string
+	tries int
+	known func()             // live, by a proven cache
+	final func(f part.Final) // ended
+	never func()             // proven never accepted
+	fail  func()             // no proof
+}
+
+// remembered bounds the memory for ended jobs; the ledger has them all.
+const remembered = 5000
+
+// New makes an empty intake.
+func New(h Host, w world.World) *Intake {
+	return &Intake{h: h, w: w, finals: map[string]part.Final{}}
+}
+
+// Over remembers a job's end, which the ledger has.
+func (in *Intake) Over(id string, f part.Final) {
+	if _, ok := in.finals[id]; ok {
+		return
+	}
+	in.finals[id] = f
+	if len(in.ring) < remembered {
+		in.ring = append(in.ring, id)
+		return
+	}
+	delete(in.finals, in.ring[in.ringAt])
+	in.ring[in.ringAt] = id
+	in.ringAt = (in.ringAt + 1) % remembered
+}
+
+// pause is the Retry-After when the state service cannot be used.
+const pause = 1
+
+func later(reply Reply, why string) { reply(503, &wire.Problem{Error: why}, pause) }
+
+func finalState(id string, f part.Final) *wire.JobState {
+	s := &wire.JobState{ID: id, Status: f.Status}
+	if f.Status == wire.Done {
+		zero := 0
+		s.Done, s.Running = &f.Tasks, &zero
+	}
+	return s
+}
+
+func (in *Intake) liveState(id string) *wire.JobState {
+	done, running, started := in.h.Counts(id)
+	s := &wire.JobState{ID: id, Status: wire.Pending, Done: &done, Running: &running}
+	if started && running > 0 {
+		s.Status = wire.Running
+	}
+	return s
+}
+
+// Submit handles POST /v2/runs.
+func (in *Intake) Submit(body []byte, reply Reply) {
+	var s wire.Submission
+	bad := ""
+	var job *wire.Job
+	switch {
+	case len(body) > wire.MaxBody:
+		bad = "too large"
+	case !wire.IsMap(body):
+		bad = "not a map"
+	default:
+		if err := wire.Decode(body, &s); err != nil {
+			bad = "invalid field or not CBOR"
+		} else if job, bad = s.Check(); bad != "" {
+			bad = "missing or invalid: " + bad
+		}
+	}
+	if bad != "" {
+		// A repeat of an accepted id is 200 whatever else the body holds.
+		var only struct {
+			ID any `cbor:"id"`
+		}
+		id := ""
+		if wire.IsMap(body) && len(body) <= wire.MaxBody && wire.Decode(body, &only) == nil {
+			id, _ = only.ID.(string)
+		}
+		if !wire.ValidJobID(id) {
+			reply(400, &wire.Problem{Error: bad}, 0)
+			return
+		}
+		in.unless(id, reply, func() { reply(400, &wire.Problem{Error: bad}, 0) })
+		return
+	}
+	if f, ok := in.finals[job.ID]; ok {
+		reply(200, finalState(job.ID, f), 0)
+		return
+	}
+	if in.h.Ledger().Down() {
+		later(reply, "state service not reachable")
+		return
+	}
+	if in.h.Job(job.ID) != nil {
+		in.unless(job.ID, reply, func() { later(reply, "try again") })
+		return
+	}
+	if len(in.h.Types()) == 0 {
+		later(reply, "machine types not known yet")
+		return
+	}
+	if why := in.hopeless(job); why != "" {
+		in.unless(job.ID, reply, func() { reply(422, &wire.Problem{Error: why}, 0) })
+		return
+	}
+	if in.h.Ledger().Queued() > 200 {
+		reply(429, &wire.Problem{Error: "overloaded"}, 2*pause)
+		return
+	}
+	at := in.h.Wall()
+	in.h.Plan(job, func(rank, chunk int, parts []int) {
+		in.store(&part.JobRecord{Job: *job, At: at, Rank: rank, Chunk: chunk, Parts: parts}, reply)
+	})
+}
+
+// unless answers with the state of a known job, and otherwise as told.
+func (in *Intake) unless(id string, reply Reply, never func()) {
+	in.find(id, &lookup{id: id,
+		known: func() { reply(200, in.liveState(id), 0) },
+		final: func(f part.Final) { reply(200, finalState(id, f), 0) },
+		never: never,
+		fail:  func() { later(reply, "state service not reachable") },
+	})
+}
+
+// hopeless says why a job can never run.
+func (in *Intake) hopeless(j *wire.Job) string {
+	t := in.h.Settings().Team(j.Team)
+	if t == nil {
+		return "unknown team"
+	}
+	n := 1.0
+	if j.Shape != wire.Array {
+		n = float64(j.Tasks)
+	}
+	const eps = 1e-9
+	if t.CoresMax > 0 && n*j.Cores > t.CoresMax+eps || t.GPUsMax > 0 && n*j.GPUs > t.GPUsMax+eps {
+		return "needs more than the team's limit"
+	}
+	for _, mt := range in.h.Types() {
+		for _, z := range mt.Zones {
+			if part.Allows(j, mt, z, false) {
+				return ""
+			}
+		}
+	}
+	return "fits no allowed machine type"
+}
+
+func (in *Intake) store(rec *part.JobRecord, reply Reply) {
+	id := rec.Job.ID
+	l := in.h.Ledger()
+	answered := false
+	limit := int(in.h.Settings().Deployment.State.ValueKB * 1024)
+	if len(wire.Encode(rec)) > limit*3/4 {
+		in.unless(id, reply, func() { reply(400, &wire.Problem{Error: "fields too long"}, 0) })
+		return
+	}
+	once := func(status int, body any, retry int) {
+		if !answered {
+			answered = true
+			reply(status, body, retry)
+		}
+	}
+	// Users wait 5 s; an answer without a result comes well before.
+	in.w.After(3*time.Second, func() { once(503, &wire.Problem{Error: "state service slow"}, pause) })
+	l.Write(ledger.Urgent, &ledger.Write{
+		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
+			if answered {
+				return nil, nil
+			}
+			rec.W = nonce
+			return []wire.Cond{{Key: part.JobKey(id)}, {Key: part.FinalKey(id)}},
+				[]wire.Op{{Put: part.JobKey(id), Value: wire.Encode(rec)}}
+		},
+		Done: func(ok bool, _ uint64) {
+			if ok {
+				slog.Debug("intake: accepted", "job", id, "rank", rec.Rank, "parts", rec.Parts)
+				in.h.News(id)
+				once(201, &wire.JobState{ID: id, Status: wire.Pending}, 0)
+				return
+			}
+			if !answered {
+				in.unless(id, once, func() { later(once, "try again") })
+			}
+		},
+		Refused: func() bool {
+			once(503, &wire.Problem{Error: "state service not reachable"}, pause)
+			return true
+		},
+	})
+}
+
+// Poll handles GET /v2/runs/{id}.
+func (in *Intake) Poll(id string, reply Reply) {
+	if !wire.ValidJobID(id) {
+		reply(404, &wire.Problem{Error: "no such job"}, 0)
+		return
+	}
+	in.find(id, &lookup{id: id,
+		known: func() { reply(200, in.liveState(id), 0) },
+		final: func(f part.Final) { reply(200, finalState(id, f), 0) },
+		never: func() { reply(404, &wire.Problem{Error: "no such job"}, 0) },
+		fail:  func() { later(reply, "state service not reachable") },
+	})
+}
+
+// Abort handles POST /v2/runs/{id}/abort.
+func (in *Intake) Abort(id string, reply Reply) {
+	if !wire.ValidJobID(id) {
+		reply(404, &wire.Problem{Error: "no such job"}, 0)
+		return
+	}
+	in.abort(id, reply, 0)
+}
+
+func (in *Intake) abort(id string, reply Reply, tries int) {
+	in.find(id, &lookup{id: id,
+		known: func() { in.withdraw(id, reply, tries) },
+		final: func(f part.Final) { reply(200, &wire.JobState{ID: id, Status: f.Status}, 0) },
+		never: func() { reply(404, &wire.Problem{Error: "no such job"}, 0) },
+		fail:  func() { later(reply, "state service not reachable") },
+	})
+}
+
+// withdraw makes the abort durable: the final record stands and the live one
+// is gone, so nobody can start or finish the job afterwards.
+func (in *Intake) withdraw(id string, reply Reply, tries int) {
+	l := in.h.Ledger()
+	rec := in.h.Job(id)
+	if rec == nil || tries > 5 {
+		later(reply, "try again")
+		return
+	}
+	tasks := rec.Job.Tasks
+	answered := false
+	once := func(status int, body any, retry int) {
+		if !answered {
+			answered = true
+			reply(status, body, retry)
+		}
+	}
+	in.w.After(3*time.Second, func() { once(503, &wire.Problem{Error: "state service slow"}, pause) })
+	var f part.Final
+	l.Write(ledger.Urgent, &ledger.Write{
+		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
+			c := l.Stamp(part.JobKey(id))
+			if c.Stamp == 0 {
+				return nil, nil
+			}
+			f = part.Final{W: nonce, Status: wire.Withdrawn, Tasks: tasks, At: in.h.Wall()}
+			return []wire.Cond{c, {Key: part.FinalKey(id)}},
+				[]wire.Op{{Put: part.FinalKey(id), Value: wire.Encode(&f)}, {Delete: part.JobKey(id)}}
+		},
+		Done: func(ok bool, _ uint64) {
+			if ok {
+				slog.Info("intake: withdrawn", "job", id)
+				in.Over(id, f)
+				in.h.News(id)
+				once(200, &wire.JobState{ID: id, Status: wire.Withdrawn}, 0)
+				return
+			}
+			if !answered { // moved, or over, meanwhile
+				in.abort(id, once, tries+1)
+			}
+		},
+		Refused: func() bool {
+			once(503, &wire.Problem{Error: "state service not reachable"}, pause)
+			return true
+		},
+	})
+}
+
+// find settles what is known of a job; anything but an end needs proof.
+func (in *Intake) find(id string, k *lookup) {
+	if f, ok := in.finals[id]; ok {
+		k.final(f)
+		return
+	}
+	if in.h.Ledger().Down() {
+		k.fail()
+		return
+	}
+	if in.h.Job(id) == nil {
+		in.look(k)
+		return
+	}
+	in.h.Ledger().Prove(func(ok bool) {
+		switch f, over := in.finals[id]; {
+		case over:
+			k.final(f)
+		case !ok:
+			k.fail()
+		case in.h.Job(id) != nil:
+			k.known()
+		default:
+			in.look(k)
+		}
+	})
+}
+
+// look asks the state service about a job that the cache does not have; one
+// comparison serves all that wait.
+func (in *Intake) look(k *lookup) {
+	if in.h.Ledger().Down() || len(in.asked) > 1000 {
+		k.fail()
+		return
+	}
+	in.asked = append(in.asked, k)
+	in.ask()
+}
+
+func (in *Intake) ask() {
+	if in.asking || len(in.asked) == 0 {
+		return
+	}
+	in.asking = true
+	s := &in.h.Settings().Deployment.State
+	// Waiting a little lets one request serve many.
+	in.w.After(time.Duration(float64(len(in.h.Settings().Names()))/s.RPS*float64(time.Second)), func() {
+		n := min(len(in.asked), 2*s.TxnOps)
+		batch := in.asked[:n:n]
+		in.asked = in.asked[n:]
+		var when []wire.Cond
+		seen := map[string]bool{}
+		for _, k := range batch {
+			if !seen[k.id] {
+				seen[k.id] = true
+				when = append(when, wire.Cond{Key: part.JobKey(k.id)}, wire.Cond{Key: part.FinalKey(k.id)})
+			}
+		}
+		in.h.Ledger().Compare(when, func(status int) {
+			in.asking = false
+			switch {
+			case status == 200: // neither live nor ended, all at one moment
+				for _, k := range batch {
+					k.never()
+				}
+			case status == 409:
+				for _, k := range batch {
+					in.settle(k)
+				}
+			default:
+				for _, k := range batch {
+					k.fail()
+				}
+			}
+			in.ask()
+		})
+	})
+}
+
+// settle: at least one of a batch is known. The ended are read; the rest are
+// looked for in a proven cache, and compared again if they are not there.
+func (in *Intake) settle(k *lookup) {
+	in.h.Ledger().Fetch(part.FinalKey(k.id), func(status int, value []byte, _ uint64) {
+		var f part.Final
+		switch {
+		case status == 200 && wire.Decode(value, &f) == nil:
+			in.Over(k.id, f)
+			k.final(f)
+		case status == 404:
+			in.h.Ledger().Prove(func(ok bool) {
+				switch {
+				case !ok || k.tries > 3:
+					k.fail()
+				case in.h.Job(k.id) != nil:
+					k.known()
+				default:
+					k.tries++
+					in.look(k)
+				}
+			})
+		default:
+			k.fail()
+		}
+	})
+}
+
+func (in *Intake) String() string {
+	return fmt.Sprintf("%d ended jobs in memory, %d look-ups wait", len(in.finals), len(in.asked))
+}
--- /dev/null
+++ b/internal/ledger/ledger.go
@@ -0,0 +1,600 @@
+// Package ledger keeps a controller's copy of the state service and its
+// writes to it: a cache fed by /changes, proofs that the cache is current,
+// group-committed transactions whose unknown outcomes are resolved, and the
+// grant that the controller's keys hang on.
+package ledger
+
+import (
+	"fmt"
+	"log/slog"
+	"net/url"
+	"strings"
+	"time"
+
+	"curlewspool/internal/wire"
+	"curlewspool/internal/world"
+)
+
+// Root is the prefix of all keys that are cached. Finished jobs live outside.
+const Root = "a/"
+
+// Limits are the state service's, from the settings.
+type Limits struct {
+	RPS, WriteRPS float64
+	ValueKB       float64
+	TxnOps        int
+	Members       int
+}
+
+// Entry is a cached key.
+type Entry struct {
+	Value []byte
+	Stamp uint64
+	Lease uint64
+}
+
+// Ledger belongs to the owner's loop.
+type Ledger struct {
+	w    world.World
+	addr string
+	lim  Limits
+
+	cache  map[string]Entry
+	gone   map[string]uint64 // our deletes that the cache has not passed yet
+	rev    uint64
+	loaded bool
+	change func(key string, value []byte)
+
+	watching  bool
+	syncing   bool
+	lastSync  time.Duration
+	syncTimer bool
+	askers    []func(bool)
+	badSince  time.Duration // no good answer since; 0: the last was good
+	seenOK    time.Duration // sent time of the newest answered /changes
+
+	queue    [3][]*Write
+	inFlight int
+	budget   float64
+	budgetAt time.Duration
+	pauseTo  time.Duration
+	pumping  bool
+	nonce    string
+	nonces   int
+
+	Grant Grant
+}
+
+// Write is one atomic group of changes. Its conditions are worked out when it
+// is sent, so a waiting write never carries an old stamp or value.
+type Write struct {
+	// Build gives conditions and changes; every key written must be among
+	// the conditions, or a delayed copy of the transaction could undo a newer
+	// one. Values must carry nonce (field "w"). No changes: the write is off.
+	Build func(nonce string) ([]wire.Cond, []wire.Op)
+	// Done tells whether it was applied; false: it was not and never will be.
+	Done func(ok bool, stamp uint64)
+	// Refused, if given, is told that the service refuses requests for now;
+	// true gives the write up (it was not applied).
+	Refused func() bool
+	tries   int
+}
+
+// Urgency of a write.
+const (
+	Urgent = iota // grants, accepts, aborts, ends
+	Soon          // starts
+	Later         // progress
+)
+
+// New makes a ledger; change is told every change of a cached key (nil: deleted).
+func New(w world.World, addr, host string, lim Limits, change func(key string, value []byte)) *Ledger {
+	l := &Ledger{w: w, addr: addr, lim: lim, cache: map[string]Entry{}, gone: map[string]uint64{}, change: change}
+	l.nonce = fmt.Sprintf("%s.%x", host, w.Rand().Uint64())
+	l.budget = l.rate()
+	l.Grant.l = l
+	return l
+}
+
+// timeout bounds one request: answers take a few ms, occasionally a few
+// hundred; a cut or a busy spell shows as silence.
+const timeout = 2 * time.Second
+
+// retry is the pause after a failed request, with jitter, so that members do
+// not return in step after an outage.
+func (l *Ledger) retry() time.Duration {
+	base := 20 * float64(l.lim.Members) / l.lim.RPS
+	return time.Duration((0.2 + base*(0.5+l.w.Rand().Float64())) * float64(time.Second) / 2)
+}
+
+// gap spaces syncs and watches so that all members' together use about half
+// of the requests the service allows.
+func (l *Ledger) gap() time.Duration {
+	return time.Duration(4 * float64(l.lim.Members) / l.lim.RPS * float64(time.Second))
+}
+
+// Start loads the cache and keeps it fed.
+func (l *Ledger) Start() { l.load("", true) }
+
+func (l *Ledger) load(since string, first bool) {
+	out := &wire.EntryList{}
+	path := "/store?under=" + Root + "&limit=1000"
+	if since != "" {
+		path += "&since=" + url.QueryEscape(since)
+	}
+	l.w.Call(l.addr, "GET", path, nil, out, timeout, func(status int) {
+		if status != 200 {
+			l.w.After(l.retry(), func() { l.load(since, first) })
+			return
+		}
+		if first {
+			l.rev = out.Ledger
+			l.cache = map[string]Entry{}
+		}
+		for _, e := range out.Entries {
+			l.cache[e.Key] = Entry{e.Value, e.Stamp, e.Lease}
+		}
+		if out.More && len(out.Entries) > 0 {
+			l.load(out.Entries[len(out.Entries)-1].Key, false)
+			return
+		}
+		// Pages are from different moments: the changes since the first one
+		// are replayed before anything is believed.
+		l.replay()
+	})
+}
+
+func (l *Ledger) replay() {
+	sent := l.w.Now()
+	out := &wire.Changes{}
+	l.w.Call(l.addr, "GET", l.changesPath(0), nil, out, timeout, func(status int) {
+		if status == 410 {
+			l.load("", true)
+			return
+		}
+		if status != 200 {
+			l.w.After(l.retry(), l.replay)
+			return
+		}
+		l.absorb(out)
+		l.loaded, l.seenOK = true, sent
+		for k, e := range l.cache {
+			l.change(k, e.Value)
+		}
+		l.change("", nil)
+		l.watch()
+	})
+}
+
+func (l *Ledger) changesPath(hold time.Duration) string {
+	return fmt.Sprintf("/changes?under=%s&since=%d&holdMs=%d", Root, l.rev, hold.Milliseconds())
+}
+
+// absorb applies what is newer than the cache.
+func (l *Ledger) absorb(c *wire.Changes) {
+	if c.Ledger <= l.rev {
+		return
+	}
+	for _, e := range c.Log {
+		if e.Stamp <= l.rev {
+			continue
+		}
+		key := e.Put + e.Delete
+		if old, ok := l.cache[key]; ok && old.Stamp >= e.Stamp {
+			continue // our own write, known already
+		}
+		if l.gone[key] >= e.Stamp {
+			continue
+		}
+		if e.Put != "" {
+			l.cache[key] = Entry{Value: e.Value, Stamp: e.Stamp}
+		} else {
+			delete(l.cache, key)
+		}
+		if l.loaded {
+			l.change(key, e.Value)
+		}
+	}
+	l.rev = c.Ledger
+	for k, s := range l.gone {
+		if s <= l.rev {
+			delete(l.gone, k)
+		}
+	}
+	if l.loaded {
+		l.change("", nil)
+	}
+}
+
+// reload throws the cache away: the service no longer keeps the changes.
+func (l *Ledger) reload() {
+	if !l.loaded {
+		return
+	}
+	old := l.cache
+	l.loaded = false
+	for k := range old {
+		l.change(k, nil)
+	}
+	l.load("", true)
+}
+
+func (l *Ledger) watch() {
+	if l.watching || !l.loaded {
+		return
+	}
+	l.watching = true
+	sent := l.w.Now()
+	hold := 10 * time.Second
+	out := &wire.Changes{}
+	l.w.Call(l.addr, "GET", l.changesPath(hold), nil, out, hold+timeout, func(status int) {
+		l.watching = false
+		if !l.loaded {
+			return
+		}
+		switch status {
+		case 200:
+			l.absorb(out)
+			if sent > l.seenOK {
+				l.seenOK = sent
+			}
+			l.w.After(l.gap(), l.watch)
+		case 410:
+			l.reload()
+		default:
+			l.w.After(l.retry(), l.watch)
+		}
+	})
+}
+
+// Prove calls f once an answer asked for after now has brought the cache up
+// to date; f(false) if none came in time.
+func (l *Ledger) Prove(f func(ok bool)) {
+	l.askers = append(l.askers, f)
+	l.sync()
+}
+
+// Refresh asks for the newest changes without waiting for the watch.
+func (l *Ledger) Refresh() { l.Prove(func(bool) {}) }
+
+func (l *Ledger) sync() {
+	if l.syncing || l.syncTimer || len(l.askers) == 0 {
+		return
+	}
+	if !l.loaded {
+		l.failAskers(l.takeAskers())
+		return
+	}
+	if wait := l.lastSync + l.gap() - l.w.Now(); wait > 0 {
+		l.syncTimer = true
+		l.w.After(wait, func() { l.syncTimer = false; l.sync() })
+		return
+	}
+	l.syncing = true
+	l.lastSync = l.w.Now()
+	sent := l.lastSync
+	askers := l.takeAskers()
+	out := &wire.Changes{}
+	l.w.Call(l.addr, "GET", l.changesPath(0), nil, out, timeout*3/4, func(status int) {
+		l.note(status)
+		l.syncing = false
+		switch {
+		case !l.loaded:
+			l.failAskers(askers)
+		case status == 200:
+			l.absorb(out)
+			if sent > l.seenOK {
+				l.seenOK = sent
+			}
+			for _, f := range askers {
+				f(true)
+			}
+		case status == 410:
+			l.failAskers(askers)
+			l.reload()
+		default:
+			l.failAskers(askers)
+		}
+		l.sync()
+	})
+}
+
+func (l *Ledger) takeAskers() []func(bool) {
+	a := l.askers
+	l.askers = nil
+	return a
+}
+
+func (l *Ledger) failAskers(a []func(bool)) {
+	for _, f := range a {
+		f(false)
+	}
+}
+
+// Loaded tells whether the cache can be read at all.
+func (l *Ledger) Loaded() bool { return l.loaded }
+
+// Age is how old the cache may be.
+func (l *Ledger) Age() time.Duration { return l.w.Now() - l.seenOK }
+
+// note follows whether the service answers.
+func (l *Ledger) note(status int) {
+	switch status {
+	case 0, 503:
+		if l.badSince == 0 {
+			l.badSince = l.w.Now()
+		}
+	default:
+		l.badSince = 0
+	}
+}
+
+// Down tells that requests have gone unanswered or refused for a while, so
+// that a user is better told at once to come back later.
+func (l *Ledger) Down() bool {
+	return !l.loaded || l.badSince != 0 && l.w.Now()-l.badSince > timeout/8
+}
+
+// Get reads the cache.
+func (l *Ledger) Get(key string) (Entry, bool) { e, ok := l.cache[key]; return e, ok }
+
+// Stamp gives the condition under which key is as the cache has it.
+func (l *Ledger) Stamp(key string) wire.Cond { return wire.Cond{Key: key, Stamp: l.cache[key].Stamp} }
+
+// Fetch reads a key outside the cache. status 0, 429 and 503: not known.
+func (l *Ledger) Fetch(key string, done func(status int, value []byte, stamp uint64)) {
+	out := &wire.Entry{}
+	l.w.Call(l.addr, "GET", "/store/"+key, nil, out, timeout*3/4, func(status int) {
+		done(status, out.Value, out.Stamp)
+	})
+}
+
+// Compare checks conditions only.
+func (l *Ledger) Compare(when []wire.Cond, done func(status int)) {
+	l.w.Call(l.addr, "POST", "/multi", &wire.Txn{When: when}, &wire.TxnResult{}, timeout*3/4, done)
+}
+
+func (l *Ledger) rate() float64 {
+	return 0.9 * l.lim.WriteRPS / max(1, 0.7*float64(l.lim.Members))
+}
+
+// Queued is the number of writes that wait.
+func (l *Ledger) Queued() int { return len(l.queue[0]) + len(l.queue[1]) + len(l.queue[2]) }
+
+// Write queues a transaction.
+func (l *Ledger) Write(urgency int, w *Write) {
+	l.queue[urgency] = append(l.queue[urgency], w)
+	// Sent after the current batch of commands, so that what belongs
+	// together is committed together.
+	if !l.pumping {
+		l.pumping = true
+		l.w.After(0, func() { l.pumping = false; l.pump() })
+	}
+}
+
+type batch struct {
+	writes []*Write
+	nonce  string
+	txn    *wire.Txn
+	parts  [][2]int // each write's range of conditions
+	doubt  bool     // an earlier send may have been, or yet be, applied
+	since  time.Duration
+}
+
+func (l *Ledger) pump() {
+	for l.inFlight < 3 && l.Queued() > 0 {
+		now := l.w.Now()
+		if now < l.pauseTo {
+			l.again(l.pauseTo - now)
+			return
+		}
+		l.budget = min(l.rate(), l.budget+l.rate()*(now-l.budgetAt).Seconds())
+		l.budgetAt = now
+		b := l.collect()
+		if b == nil {
+			if l.Queued() > 0 {
+				l.again(time.Duration(float64(time.Second) / l.rate()))
+			}
+			return
+		}
+		l.inFlight++
+		l.send(b)
+	}
+}
+
+func (l *Ledger) again(d time.Duration) {
+	if l.pumping {
+		return
+	}
+	l.pumping = true
+	l.w.After(d, func() { l.pumping = false; l.pump() })
+}
+
+// collect fills a batch, urgent writes first. Lesser ones leave a part of
+// the budget untouched for urgent ones to come.
+func (l *Ledger) collect() *batch {
+	l.nonces++
+	b := &batch{nonce: fmt.Sprintf("%s.%d", l.nonce, l.nonces), txn: &wire.Txn{}, since: l.w.Now()}
+	seen := map[string]uint64{}
+	size := 0
+	for u := range l.queue {
+		floor := []float64{-l.rate(), 0, 0.25 * l.rate()}[u]
+		var left []*Write
+		for i, w := range l.queue[u] {
+			if len(b.writes) > 0 && w.tries > 0 { // a write that failed in company goes alone
+				left = append(left, w)
+				continue
+			}
+			conds, ops := w.Build(b.nonce)
+			if len(ops) == 0 {
+				w.Done(false, 0)
+				continue
+			}
+			sz := 0
+			clash := false
+			for _, o := range ops {
+				sz += 2*len(o.Value) + len(o.Put) + len(o.Delete) + 64
+			}
+			for _, c := range conds {
+				sz += len(c.Key) + 40
+				if s, ok := seen[c.Key]; ok && s != c.Stamp {
+					clash = true
+				}
+			}
+			for _, o := range ops {
+				if _, ok := seen["w:"+o.Put+o.Delete]; ok {
+					clash = true
+				}
+			}
+			if clash || len(b.txn.Apply)+len(ops) > l.lim.TxnOps || len(b.txn.When)+len(conds) > 4*l.lim.TxnOps ||
+				size+sz > 60<<10 || l.budget-float64(len(ops)) < floor && !(u == Urgent && len(b.writes) == 0 && l.budget > -l.rate()) {
+				left = append(left, l.queue[u][i:]...)
+				break
+			}
+			size += sz
+			l.budget -= float64(len(ops))
+			at := len(b.txn.When)
+			for _, c := range conds {
+				if _, ok := seen[c.Key]; !ok {
+					b.txn.When = append(b.txn.When, c)
+				}
+				seen[c.Key] = c.Stamp
+			}
+			for _, o := range ops {
+				seen["w:"+o.Put+o.Delete] = 1
+			}
+			b.parts = append(b.parts, [2]int{at, len(b.txn.When)})
+			b.txn.Apply = append(b.txn.Apply, ops...)
+			b.writes = append(b.writes, w)
+			if w.tries > 0 {
+				left = append(left, l.queue[u][i+1:]...)
+				l.queue[u] = left
+				return b
+			}
+		}
+		l.queue[u] = left
+		if len(left) > 0 && len(b.writes) > 0 {
+			break
+		}
+	}
+	if len(b.writes) == 0 {
+		return nil
+	}
+	return b
+}
+
+func (l *Ledger) send(b *batch) {
+	out := &wire.TxnResult{}
+	l.w.Call(l.addr, "POST", "/multi", b.txn, out, timeout, func(status int) {
+		l.note(status)
+		switch status {
+		case 200:
+			l.applied(b, out.Ledger)
+		case 409:
+			if b.doubt {
+				l.settle(b)
+				return
+			}
+			l.conflict(b)
+		case 400:
+			if b.doubt && !strings.Contains(out.Error, "lease") && !strings.Contains(out.Error, "permit") {
+				l.settle(b)
+				return
+			}
+			slog.Error("state: transaction refused", "err", out.Error, "first", b.txn.Apply[0].Put)
+			if out.Error != "" && strings.Contains(out.Error, "no such") {
+				l.Grant.lost()
+			}
+			l.conflict(b)
+		case 429, 503: // not executed
+			if b.doubt {
+				l.w.After(l.retry(), func() { l.send(b) })
+				return
+			}
+			l.pauseTo = l.w.Now() + l.retry()
+			l.inFlight--
+			for i := len(b.writes) - 1; i >= 0; i-- { // to be built anew
+				if w := b.writes[i]; status != 503 || w.Refused == nil || !w.Refused() {
+					l.queue[Urgent] = append([]*Write{w}, l.queue[Urgent]...)
+				}
+			}
+			l.again(l.retry())
+		default:
+			// It may have been applied or may be yet. The same conditions
+			// hold for the second copy, so at most one of the two takes
+			// effect; the nonce tells whether one has.
+			b.doubt = true
+			l.w.After(l.retry(), func() { l.send(b) })
+		}
+	})
+}
+
+// settle finds out whether a doubtful batch was applied.
+func (l *Ledger) settle(b *batch) {
+	key := ""
+	for _, o := range b.txn.Apply {
+		if o.Put != "" {
+			key = o.Put
+			break
+		}
+	}
+	if key == "" {
+		l.conflict(b)
+		return
+	}
+	l.Fetch(key, func(status int, value []byte, stamp uint64) {
+		var v struct {
+			W string `cbor:"w"`
+		}
+		switch {
+		case status == 200 && wire.Decode(value, &v) == nil && v.W == b.nonce:
+			l.applied(b, stamp)
+		case status == 200 || status == 404:
+			l.conflict(b)
+		default:
+			l.w.After(l.retry(), func() { l.settle(b) })
+		}
+	})
+}
+
+func (l *Ledger) applied(b *batch, stamp uint64) {
+	l.inFlight--
+	for _, o := range b.txn.Apply {
+		key := o.Put + o.Delete
+		if !strings.HasPrefix(key, Root) || l.cache[key].Stamp >= stamp {
+			continue
+		}
+		if o.Put != "" {
+			l.cache[key] = Entry{o.Value, stamp, o.Lease}
+		} else {
+			delete(l.cache, key)
+			if stamp > l.rev {
+				l.gone[key] = stamp
+			}
+		}
+		if l.loaded {
+			l.change(key, o.Value)
+		}
+	}
+	for _, w := range b.writes {
+		w.Done(true, stamp)
+	}
+	l.pump()
+}
+
+// conflict: none of the batch was applied. A lone write is told so, once the
+// cache shows why; others are tried again one by one.
+func (l *Ledger) conflict(b *batch) {
+	l.inFlight--
+	if len(b.writes) > 1 {
+		for i := len(b.writes) - 1; i >= 0; i-- {
+			b.writes[i].tries++
+			l.queue[Urgent] = append([]*Write{b.writes[i]}, l.queue[Urgent]...)
+		}
+		l.pump()
+		return
+	}
+	w := b.writes[0]
+	l.Prove(func(bool) { w.Done(false, 0) })
+	l.pump()
+}
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,134 @@
+// Package mesh carries protobuf messages between controllers over TCP: one
+// outgoing connection to each member, frames of a length and an Envelope.
+// Losing a message is allowed: everything told here is either repeated at
+// the next heartbeat or asked again.
+package mesh
+
+//go:generate protoc --go_out=. --go_opt=paths=source_relative mesh.proto
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// maxFrame bounds what a member may make us hold.
+const maxFrame = 1 << 20
+
+// Transport sends and receives.
+type Transport struct {
+	out  map[string]chan *Envelope
+	self string
+}
+
+// Listen starts the transport; every frame that arrives is given to deliver,
+// which must not block for long. timeout bounds a dial or write.
+func Listen(addr, self string, members map[string]string, timeout time.Duration, deliver func(*Envelope)) (*Transport, error) {
+	l, err := net.Listen("tcp4", addr)
+	if err != nil {
+		return nil, err
+	}
+	t := &Transport{out: map[string]chan *Envelope{}, self: self}
+	for name, a := range members {
+		ch := make(chan *Envelope, 64)
+		t.out[name] = ch
+		go t.sender(a, ch, timeout)
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err != nil { // no free sockets: wait for some
+				time.Sleep(timeout / 10)
+				continue
+			}
+			go receive(c, 20*timeout, deliver)
+		}
+	}()
+	return t, nil
+}
+
+func receive(c net.Conn, idle time.Duration, deliver func(*Envelope)) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	var buf []byte
+	for {
+		// A member behind a cut is silent; its connection must not stay.
+		_ = c.SetReadDeadline(time.Now().Add(idle))
+		n, err := binary.ReadUvarint(r)
+		if err != nil || n > maxFrame {
+			return
+		}
+		if uint64(cap(buf)) < n {
+			buf = make([]byte, n)
+		}
+		buf = buf[:n]
+		if _, err := io.ReadFull(r, buf); err != nil {
+			return
+		}
+		e := &Envelope{}
+		if err := proto.Unmarshal(buf, e); err != nil {
+			slog.Error("mesh: bad frame", "from", c.RemoteAddr(), "err", err)
+			return
+		}
+		deliver(e)
+	}
+}
+
+// Send queues e for a member; with a full queue it is lost.
+func (t *Transport) Send(member string, e *Envelope) {
+	e.From = t.self
+	if ch := t.out[member]; ch != nil {
+		select {
+		case ch <- e:
+		default:
+		}
+	}
+}
+
+func (t *Transport) sender(addr string, ch chan *Envelope, timeout time.Duration) {
+	var c net.Conn
+	for e := range ch {
+		b, err := proto.Marshal(e)
+		if err != nil {
+			slog.Error("mesh: marshal", "err", err)
+			continue
+		}
+		b = append(binary.AppendUvarint(nil, uint64(len(b))), b...)
+		if c == nil {
+			c, err = net.DialTimeout("tcp4", addr, timeout)
+			if err != nil {
+				c = nil
+				drain(ch) // what waited meanwhile is old news
+				continue
+			}
+			go func(c net.Conn) { // notice at once when the member ends
+				_, _ = io.Copy(io.Discard, c)
+				c.Close()
+			}(c)
+		}
+		_ = c.SetWriteDeadline(time.Now().Add(timeout))
+		if _, err := c.Write(b); err != nil {
+			c.Close()
+			c = nil
+		}
+	}
+}
+
+func drain(ch chan *Envelope) {
+	for {
+		select {
+		case <-ch:
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,975 @@
+// Package node is the one owner of all state in a controller. It takes
+// commands from a queue in batches (see loop.go) and passes them to the
+// slices, which never call each other behind its back.
+package node
+
+import (
+	"fmt"
+	"log/slog"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"curlewspool/internal/dispatch"
+	"curlewspool/internal/fleet"
+	"curlewspool/internal/intake"
+	"curlewspool/internal/lead"
+	"curlewspool/internal/ledger"
+	"curlewspool/internal/mesh"
+	"curlewspool/internal/part"
+	"curlewspool/internal/settings"
+	"curlewspool/internal/wire"
+	"curlewspool/internal/world"
+)
+
+// Node is a controller.
+type Node struct {
+	w     world.World
+	s     *settings.Settings
+	names []string // all controllers; part k is by custom names[k]'s
+
+	l      *ledger.Ledger
+	book   *lead.Book
+	intake *intake.Intake
+
+	types    map[string]*wire.MachineType
+	jobs     map[string]*part.JobRecord
+	progress map[string]map[int]*part.Progress
+	machines map[string]*part.MachineRecord
+	parts    map[int]*part.Part
+	cleaning map[string]bool // orphaned progress being deleted
+
+	peers   map[string]*peer
+	started time.Duration
+	goodFor time.Duration // since when this controller has been ready
+
+	// leader
+	ranker    *dispatch.Ranker
+	fleet     *fleet.Fleet
+	slots     []dispatch.Slots
+	recording map[string]bool
+	placing   map[string]bool
+	released  time.Duration
+
+	asks   map[uint64]func(*mesh.Answer)
+	askID  uint64
+	claims time.Duration
+
+	demand   map[string][2]float64
+	demandAt time.Duration
+}
+
+type peer struct {
+	heard  time.Duration // of its latest status
+	ready  time.Duration // of its latest status that said ready
+	status *mesh.Status
+}
+
+// New makes a controller; Start sets it going.
+func New(w world.World, s *settings.Settings) *Node {
+	d := &s.Deployment
+	n := &Node{w: w, s: s, names: s.Names(), types: map[string]*wire.MachineType{}, jobs: map[string]*part.JobRecord{},
+		progress: map[string]map[int]*part.Progress{}, machines: map[string]*part.MachineRecord{}, parts: map[int]*part.Part{},
+		cleaning: map[string]bool{}, peers: map[string]*peer{}, recording: map[string]bool{}, placing: map[string]bool{},
+		asks: map[uint64]func(*mesh.Answer){}, ranker: &dispatch.Ranker{Max: s.Rank.Max, Window: s.Rank.Window}}
+	for _, m := range s.Members {
+		n.peers[m.Name] = &peer{heard: -time.Hour, ready: -time.Hour}
+	}
+	n.l = ledger.New(w, s.Services.State, s.Name, ledger.Limits{RPS: d.State.RPS, WriteRPS: d.State.WriteRPS,
+		ValueKB: d.State.ValueKB, TxnOps: d.State.TxnOps, Members: len(n.names)}, n.changed)
+	n.book = lead.New(s.Name, n.l, w.Now)
+	n.book.Taken, n.book.Lost = n.taken, n.lost
+	n.intake = intake.New(n, w)
+	n.resetSlots()
+	return n
+}
+
+func (n *Node) resetSlots() {
+	n.slots = make([]dispatch.Slots, len(n.names))
+	for k := range n.slots {
+		n.slots[k] = dispatch.NewSlots(n.s.Rank.Max)
+	}
+}
+
+func (n *Node) lease() time.Duration { return world.Seconds(n.s.Deployment.Workers.Lease) }
+
+// grantLife is how long ownership outlives silence. Long enough for the
+// state service's ordinary outages not to cost workers their leases; short
+// enough that a task whose owner is cut off from the news of an abort is gone
+// within cancel_s: the owner answers no later than grantLife after the cut
+// and the worker's lease ends lease_s after that.
+func (n *Node) grantLife() time.Duration {
+	cancel := world.Seconds(n.s.Deployment.Workers.Cancel)
+	return min(time.Duration(float64(n.lease())*n.s.Grants.Life), (cancel-n.lease())*9/10)
+}
+
+func (n *Node) heartbeat() time.Duration { return max(n.lease()/40, 250*time.Millisecond) }
+
+// Start sets everything going.
+func (n *Node) Start() {
+	n.started = n.w.Now()
+	n.l.Start()
+	g := &n.l.Grant
+	g.Gained = n.claimOwn
+	g.Lost = n.book.DropAll
+	g.Keep(n.grantLife(), time.Duration(float64(n.grantLife())*n.s.Grants.Renew), settings.Drift)
+	n.catalog()
+	n.beat()
+	n.tick()
+}
+
+func (n *Node) catalog() {
+	out := &wire.Catalog{}
+	n.w.Call(n.s.Services.Cloud, "GET", "/catalog", nil, out, 4*time.Second, func(status int) {
+		again := 60 * time.Second
+		if status == 200 && len(out.Types) > 0 {
+			types := map[string]*wire.MachineType{}
+			for i := range out.Types {
+				types[out.Types[i].Name] = &out.Types[i]
+			}
+			n.types = types
+		} else if len(n.types) == 0 {
+			again = time.Second
+		}
+		n.w.After(again+time.Duration(n.w.Rand().Int64N(int64(again)/2)), n.catalog)
+	})
+}
+
+// --- host of the slices ---
+
+func (n *Node) Now() time.Duration                   { return n.w.Now() }
+func (n *Node) Wall() float64                        { return float64(n.w.Wall().UnixMilli()) / 1000 }
+func (n *Node) Ledger() *ledger.Ledger               { return n.l }
+func (n *Node) Settings() *settings.Settings         { return n.s }
+func (n *Node) Types() map[string]*wire.MachineType  { return n.types }
+func (n *Node) TypeOf(name string) *wire.MachineType { return n.types[name] }
+func (n *Node) Job(id string) *part.JobRecord        { return n.jobs[id] }
+
+// MayLaunch: with an old cache a job could be started that its user was told
+// is cancelled.
+func (n *Node) MayLaunch() bool {
+	return n.l.Loaded() && n.l.Grant.Valid() && n.l.Age() < n.launchAge()
+}
+
+// launchAge: a watch is answered after at most its hold time when nothing
+// changes, so a syncing tick keeps the cache younger than this.
+func (n *Node) launchAge() time.Duration {
+	return max(time.Second, time.Duration(n.s.Deployment.Workers.Report*float64(time.Second)))
+}
+
+// Counts is what the ledger says of a live job's tasks.
+func (n *Node) Counts(id string) (doneTasks, running int, started bool) {
+	rec := n.jobs[id]
+	if rec == nil {
+		return 0, 0, false
+	}
+	for _, p := range n.progress[id] {
+		started = true
+		running += p.Running
+		for _, r := range p.Done {
+			doneTasks += r[1] - r[0] + 1
+		}
+	}
+	doneTasks = min(doneTasks, rec.Job.Tasks)
+	return doneTasks, min(running, rec.Job.Tasks-doneTasks), started
+}
+
+// TeamDemand sums a team's unfinished jobs.
+func (n *Node) TeamDemand(team string) (cores, gpus float64) {
+	now := n.w.Now()
+	if n.demand == nil || now-n.demandAt > time.Second/4 {
+		n.demand, n.demandAt = map[string][2]float64{}, now
+		for id, rec := range n.jobs {
+			d, _, _ := n.Counts(id)
+			t := n.demand[rec.Job.Team]
+			t[0] += rec.Job.Cores * float64(rec.Job.Tasks-d)
+			t[1] += rec.Job.GPUs * float64(rec.Job.Tasks-d)
+			n.demand[rec.Job.Team] = t
+		}
+	}
+	t := n.demand[team]
+	return t[0], t[1]
+}
+
+// --- changes of the ledger ---
+
+func (n *Node) changed(key string, value []byte) {
+	switch {
+	case key == "":
+	case strings.HasPrefix(key, "a/o/"):
+		n.book.Change(key, value)
+	case strings.HasPrefix(key, "a/j/"):
+		id := key[4:]
+		if value == nil {
+			delete(n.jobs, id)
+			n.eachPart(func(p *part.Part) { p.OnJob(id, nil, 0) })
+			return
+		}
+		rec := &part.JobRecord{}
+		if err := wire.Decode(value, rec); err != nil {
+			slog.Error("node: bad job record", "key", key, "err", err)
+			return
+		}
+		n.jobs[id] = rec
+		e, _ := n.l.Get(key)
+		n.eachPart(func(p *part.Part) { p.OnJob(id, rec, e.Stamp); n.feedProgress(p, id) })
+	case strings.HasPrefix(key, "a/p/"):
+		i := strings.LastIndexByte(key, '/')
+		k, err := strconv.Atoi(key[i+1:])
+		if err != nil || i < 4 {
+			return
+		}
+		id := key[4:i]
+		if value == nil {
+			delete(n.progress[id], k)
+			if len(n.progress[id]) == 0 {
+				delete(n.progress, id)
+			}
+			return
+		}
+		p := &part.Progress{}
+		if err := wire.Decode(value, p); err != nil {
+			slog.Error("node: bad progress record", "key", key, "err", err)
+			return
+		}
+		if n.progress[id] == nil {
+			n.progress[id] = map[int]*part.Progress{}
+		}
+		n.progress[id][k] = p
+		n.eachPart(func(o *part.Part) { o.OnProgress(id, p) })
+	case strings.HasPrefix(key, "a/m/"):
+		id := key[4:]
+		if value == nil {
+			delete(n.machines, id)
+			n.eachPart(func(p *part.Part) { p.OnMachine(id, nil) })
+			return
+		}
+		rec := &part.MachineRecord{}
+		if err := wire.Decode(value, rec); err != nil {
+			slog.Error("node: bad machine record", "key", key, "err", err)
+			return
+		}
+		n.machines[id] = rec
+		n.eachPart(func(p *part.Part) { p.OnMachine(id, rec) })
+	}
+}
+
+func (n *Node) feedProgress(p *part.Part, id string) {
+	for _, pr := range n.progress[id] {
+		p.OnProgress(id, pr)
+	}
+}
+
+func (n *Node) eachPart(f func(p *part.Part)) {
+	for k := range n.names {
+		if p := n.parts[k]; p != nil {
+			f(p)
+		}
+	}
+}
+
+// --- ownership ---
+
+// claimOwn takes back, under new tokens, what this controller held before its
+// restart: its dead predecessor cannot act any more, so nothing is waited for.
+func (n *Node) claimOwn() {
+	if !n.l.Loaded() || !n.l.Grant.Valid() {
+		return
+	}
+	for k := range n.names {
+		if key := lead.PartKey(k); n.book.Stale(key) {
+			n.book.Claim(key, false)
+		}
+	}
+	if n.book.Stale(lead.Leader) {
+		n.book.Claim(lead.Leader, false)
+	}
+}
+
+func (n *Node) taken(key string, token uint64, forced bool) {
+	if key == lead.Leader {
+		if n.fleet == nil {
+			n.fleet = fleet.New(n.w, n.s, token)
+			n.resetSlots()
+		}
+		return
+	}
+	k, err := strconv.Atoi(strings.TrimPrefix(key, "a/o/"))
+	if err != nil || k < 0 || k >= len(n.names) {
+		return
+	}
+	if p := n.parts[k]; p != nil {
+		p.Renew(token)
+		return
+	}
+	bound := n.w.Now()
+	if forced { // it may go on answering until its grant would have lapsed
+		bound += n.grantLife()
+	}
+	p := part.New(k, token, n, func() wire.Cond { return n.book.Guard(key) }, bound)
+	n.parts[k] = p
+	for _, id := range sortedKeys(n.machines) {
+		p.OnMachine(id, n.machines[id])
+	}
+	for _, id := range sortedKeys(n.jobs) {
+		e, _ := n.l.Get(part.JobKey(id))
+		p.OnJob(id, n.jobs[id], e.Stamp)
+		n.feedProgress(p, id)
+	}
+	p.Tick()
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (n *Node) lost(key string) {
+	if key == lead.Leader {
+		n.fleet = nil
+		return
+	}
+	if k, err := strconv.Atoi(strings.TrimPrefix(key, "a/o/")); err == nil {
+		delete(n.parts, k)
+	}
+}
+
+// owns gives a part that this controller owns and may act for now.
+func (n *Node) owns(k int) *part.Part {
+	if p := n.parts[k]; p != nil && n.book.Holds(lead.PartKey(k)) && n.l.Grant.Valid() {
+		return p
+	}
+	return nil
+}
+
+func (n *Node) leads() bool {
+	return n.fleet != nil && n.book.Holds(lead.Leader) && n.l.Grant.Valid()
+}
+
+// ready: able to act for the service.
+func (n *Node) ready() bool {
+	return n.l.Loaded() && n.l.Grant.Valid() && !n.l.Down() && len(n.types) > 0
+}
+
+// absent: not heard as ready for long, though this controller has been.
+func (n *Node) absent(name string) bool {
+	p := n.peers[name]
+	if p == nil {
+		return name != n.s.Name
+	}
+	now := n.w.Now()
+	limit := time.Duration(float64(n.lease()) * n.s.Grants.Absent)
+	return now-p.ready > limit && n.ready() && now-n.goodFor > limit
+}
+
+// majority: this controller hears more than half of all, itself included.
+// One that is cut off from the others must not take theirs away.
+func (n *Node) majority() bool {
+	now, c := n.w.Now(), 1
+	for _, p := range n.peers {
+		if now-p.ready < 3*n.heartbeat() {
+			c++
+		}
+	}
+	return 2*c > len(n.names)
+}
+
+func (n *Node) ownership() {
+	if !n.l.Loaded() || !n.l.Grant.Valid() {
+		return
+	}
+	n.claimOwn()
+	now := n.w.Now()
+	if now < n.claims {
+		return
+	}
+	// Who has just started lets the one that led before come back first.
+	n.claims = now + n.heartbeat()/2 + time.Duration(n.w.Rand().Int64N(int64(n.heartbeat())))
+	switch o := n.book.Owner(lead.Leader); {
+	case o == "":
+		n.book.Claim(lead.Leader, false)
+	case o != n.s.Name && n.absent(o) && n.majority():
+		slog.Info("node: the leader is absent", "leader", o)
+		n.book.Claim(lead.Leader, true)
+	}
+}
+
+// assign sees that every part has an owner that is there.
+func (n *Node) assign() {
+	now := n.w.Now()
+	count := map[string]int{}
+	for k := range n.names {
+		if o := n.book.Owner(lead.PartKey(k)); o != "" {
+			count[o]++
+		}
+	}
+	there := func(name string) bool {
+		if name == n.s.Name {
+			return true
+		}
+		return now-n.peers[name].ready < 3*n.heartbeat()
+	}
+	for k, name := range n.names {
+		o := n.book.Owner(lead.PartKey(k))
+		if o != "" && !(n.absent(o) && n.majority()) {
+			continue
+		}
+		if o == "" && now-n.goodFor < 2*n.heartbeat() {
+			continue // others may still be starting
+		}
+		best := ""
+		if there(name) && count[name] == 0 {
+			best = name
+		} else {
+			for _, m := range n.names {
+				if m != o && there(m) && (best == "" || count[m] < count[best]) {
+					best = m
+				}
+			}
+		}
+		if best == "" {
+			continue
+		}
+		count[best]++
+		slog.Info("node: part is assigned", "part", k, "to", best, "from", o)
+		if best == n.s.Name {
+			n.book.Claim(lead.PartKey(k), o != "")
+		} else {
+			n.w.Send(best, &mesh.Envelope{Body: &mesh.Envelope_Assign{Assign: &mesh.Assign{Part: int32(k)}}})
+		}
+	}
+	// A member without a part gets one back from a member with several.
+	if now-n.released < n.lease()/4 {
+		return
+	}
+	for _, m := range n.names {
+		if count[m] > 0 || !there(m) {
+			continue
+		}
+		for k := range n.names {
+			if o := n.book.Owner(lead.PartKey(k)); count[o] > 1 && there(o) {
+				n.released = now
+				if o == n.s.Name {
+					n.book.Release(lead.PartKey(k))
+				} else {
+					n.w.Send(o, &mesh.Envelope{Body: &mesh.Envelope_Release{Release: &mesh.Release{Part: int32(k)}}})
+				}
+				return
+			}
+		}
+	}
+}
+
+// --- time ---
+
+func (n *Node) tick() {
+	now := n.w.Now()
+	if n.ready() {
+		if n.goodFor == 0 {
+			n.goodFor = now
+		}
+	} else {
+		n.goodFor = 0
+	}
+	if !n.l.Grant.Valid() && (len(n.parts) > 0 || n.fleet != nil) {
+		n.book.DropAll()
+	}
+	if n.l.Loaded() && n.l.Age() > n.launchAge()/2 && len(n.parts) > 0 {
+		n.l.Refresh()
+	}
+	n.ownership()
+	n.eachPart(func(p *part.Part) {
+		if n.owns(p.K) != nil {
+			p.Tick()
+			n.clean(p)
+		}
+	})
+	n.w.After(n.heartbeat()/4, n.tick)
+}
+
+// clean deletes progress of jobs that are over.
+func (n *Node) clean(p *part.Part) {
+	for id, m := range n.progress {
+		if n.jobs[id] != nil || m[p.K] == nil || len(n.cleaning) >= 8 {
+			continue
+		}
+		key := part.ProgressKey(id, p.K)
+		if n.cleaning[key] {
+			continue
+		}
+		n.cleaning[key] = true
+		guard := n.book.Guard(lead.PartKey(p.K))
+		n.l.Write(ledger.Later, &ledger.Write{
+			Build: func(string) ([]wire.Cond, []wire.Op) {
+				if _, ok := n.l.Get(key); !ok {
+					return nil, nil
+				}
+				return []wire.Cond{guard, n.l.Stamp(key)}, []wire.Op{{Delete: key}}
+			},
+			Done: func(bool, uint64) { delete(n.cleaning, key) },
+		})
+	}
+}
+
+// beat tells the others how things are, and does the leader's round.
+func (n *Node) beat() {
+	now := n.w.Now()
+	st := &mesh.Status{Ready: n.ready()}
+	n.eachPart(func(p *part.Part) {
+		if n.owns(p.K) == nil {
+			return
+		}
+		ps, gaps := p.Status(n.s.Rank.Max)
+		st.Parts = append(st.Parts, ps)
+		st.Gaps = append(st.Gaps, gaps...)
+	})
+	for name := range n.peers {
+		n.w.Send(name, &mesh.Envelope{Body: &mesh.Envelope_Status{Status: st}})
+	}
+	n.learnSlots(st)
+	if n.leads() {
+		n.assign()
+		n.place()
+		n.rent(now, st)
+	}
+	n.moves(st)
+	n.w.After(n.heartbeat(), n.beat)
+}
+
+func (n *Node) fresh() []*mesh.Status {
+	var out []*mesh.Status
+	for _, name := range sortedKeys(n.peers) {
+		if p := n.peers[name]; p.status != nil && n.w.Now()-p.heard < 3*n.heartbeat() {
+			out = append(out, p.status)
+		}
+	}
+	return out
+}
+
+func (n *Node) moves(own *mesh.Status) {
+	var all []*mesh.PartStatus
+	for _, s := range append(n.fresh(), own) {
+		all = append(all, s.Parts...)
+	}
+	n.eachPart(func(p *part.Part) {
+		if n.owns(p.K) != nil {
+			p.Move(all)
+		}
+	})
+}
+
+func (n *Node) rent(now time.Duration, own *mesh.Status) {
+	if len(n.types) == 0 {
+		return
+	}
+	var gaps []fleet.Gap
+	for _, s := range append(n.fresh(), own) {
+		for _, g := range s.Gaps {
+			if rec := n.jobs[g.Job]; rec != nil {
+				gaps = append(gaps, fleet.Gap{Job: &rec.Job, Tasks: int(g.Tasks), Waited: g.WaitedS})
+			}
+		}
+	}
+	var known []fleet.Known
+	for _, id := range sortedKeys(n.machines) {
+		known = append(known, fleet.Known{ID: id, Rec: n.machines[id]})
+	}
+	n.fleet.Tick(n.types, known, gaps, n.forget)
+}
+
+// forget deletes the records of machines that the cloud has deleted.
+func (n *Node) forget(ids []string) {
+	for _, id := range ids {
+		key := part.MachineKey(id)
+		if n.machines[id] == nil {
+			continue
+		}
+		n.l.Write(ledger.Soon, &ledger.Write{
+			Build: func(string) ([]wire.Cond, []wire.Op) {
+				if _, ok := n.l.Get(key); !ok {
+					return nil, nil
+				}
+				return []wire.Cond{n.book.Guard(lead.Leader), n.l.Stamp(key)}, []wire.Op{{Delete: key}}
+			},
+			Done: func(bool, uint64) {}, // a record that stays is deleted at a later round
+		})
+	}
+}
+
+// --- the leader's dispatch ---
+
+func (n *Node) learnSlots(st *mesh.Status) {
+	for _, p := range st.Parts {
+		if k := int(p.Part); k >= 0 && k < len(n.slots) && len(p.Load) == n.s.Rank.Max+1 && len(p.Count) == len(p.Load) {
+			s := dispatch.NewSlots(n.s.Rank.Max)
+			copy(s.Load, p.Load)
+			for i, c := range p.Count {
+				s.Count[i] = int(c)
+			}
+			n.slots[k] = s
+		}
+	}
+}
+
+// choose ranks a job and gives each of its chunks a part.
+func (n *Node) choose(j *wire.Job) (rank, chunk int, parts []int) {
+	rank = n.ranker.Rank(j)
+	np := len(n.names)
+	team := n.s.Team(j.Team)
+	limited := team != nil && team.Limited()
+	chunks := 1
+	if j.Shape == wire.Array && !j.OneZone && !j.Spread && !limited {
+		d := &n.s.Dispatch
+		chunks = max(1, min(int(float64(np)*d.ChunksPerPart), j.Tasks/d.ChunkMin))
+	}
+	chunk = (j.Tasks + chunks - 1) / chunks
+	chunks = (j.Tasks + chunk - 1) / chunk
+	parts = make([]int, chunks)
+	if limited {
+		// A limit is kept by the one owner that sees all the team's tasks.
+		h := 0
+		for _, c := range []byte(j.Team) {
+			h = (h*31 + int(c)) % (1 << 20)
+		}
+		for c := range parts {
+			parts[c] = h % np
+		}
+		return rank, chunk, parts
+	}
+	eligible := make([]bool, np)
+	any := false
+	for _, m := range n.machines {
+		if m.Retire == "" && m.Part >= 0 && m.Part < np && part.Allows(j, n.types[m.Type], m.Zone, m.Spot) {
+			eligible[m.Part], any = true, true
+		}
+	}
+	if !any {
+		for k := range eligible {
+			eligible[k] = true
+		}
+	}
+	for c := range parts {
+		k := dispatch.Choose(n.slots, eligible, rank)
+		parts[c] = k
+		n.slots[k].Add(rank, dispatch.Work(j, min(chunk, j.Tasks-c*chunk)))
+	}
+	return rank, chunk, parts
+}
+
+// Plan asks the leader where a submission goes.
+func (n *Node) Plan(j *wire.Job, done func(rank, chunk int, parts []int)) {
+	if n.leads() {
+		done(n.choose(j))
+		return
+	}
+	o := n.book.Owner(lead.Leader)
+	alone := func() { done(0, j.Tasks, []int{-1}) }
+	if o == "" || n.peers[o] == nil || n.w.Now()-n.peers[o].heard > 3*n.heartbeat() {
+		alone()
+		return
+	}
+	n.askID++
+	id := n.askID
+	n.asks[id] = func(a *mesh.Answer) {
+		parts := make([]int, len(a.Parts))
+		for i, p := range a.Parts {
+			parts[i] = int(p)
+		}
+		done(int(a.Rank), int(a.Chunk), parts)
+	}
+	n.w.Send(o, &mesh.Envelope{Body: &mesh.Envelope_Ask{Ask: &mesh.Ask{Id: id, Job: wire.Encode(j)}}})
+	// Accepted without the leader if it is slow: it fills the part in later.
+	n.w.After(n.heartbeat()/3, func() {
+		if n.asks[id] != nil {
+			delete(n.asks, id)
+			alone()
+		}
+	})
+}
+
+// place fills in the parts of jobs that were accepted without the leader.
+func (n *Node) place() {
+	for _, id := range sortedKeys(n.jobs) {
+		rec := n.jobs[id]
+		if rec.Parts[0] >= 0 || n.placing[id] || len(n.placing) > 20 {
+			continue
+		}
+		n.placing[id] = true
+		rank, chunk, parts := n.choose(&rec.Job)
+		key := part.JobKey(id)
+		n.l.Write(ledger.Urgent, &ledger.Write{
+			Build: func(nonce string) ([]wire.Cond, []wire.Op) {
+				r := n.jobs[id]
+				if r == nil || r.Parts[0] >= 0 {
+					return nil, nil
+				}
+				v := *r
+				v.W, v.Rank, v.Chunk, v.Parts = nonce, rank, chunk, parts
+				return []wire.Cond{n.book.Guard(lead.Leader), n.l.Stamp(key)}, []wire.Op{{Put: key, Value: wire.Encode(&v)}}
+			},
+			Done: func(ok bool, _ uint64) {
+				delete(n.placing, id)
+				if ok {
+					n.News(id)
+				}
+			},
+		})
+	}
+}
+
+// News hurries the others' caches.
+func (n *Node) News(id string) {
+	for name := range n.peers {
+		n.w.Send(name, &mesh.Envelope{Body: &mesh.Envelope_News{News: &mesh.News{Job: id}}})
+	}
+}
+
+// --- mesh ---
+
+// Heard takes a message from another controller.
+func (n *Node) Heard(e *mesh.Envelope) {
+	p := n.peers[e.From]
+	if p == nil {
+		return
+	}
+	now := n.w.Now()
+	switch b := e.Body.(type) {
+	case *mesh.Envelope_Status:
+		p.heard, p.status = now, b.Status
+		if b.Status.Ready {
+			p.ready = now
+		}
+		n.learnSlots(b.Status)
+	case *mesh.Envelope_Ask:
+		j := &wire.Job{}
+		if !n.leads() || wire.Decode(b.Ask.Job, j) != nil || j.Tasks < 1 {
+			return
+		}
+		rank, chunk, parts := n.choose(j)
+		a := &mesh.Answer{Id: b.Ask.Id, Rank: int32(rank), Chunk: int32(chunk)}
+		for _, k := range parts {
+			a.Parts = append(a.Parts, int32(k))
+		}
+		n.w.Send(e.From, &mesh.Envelope{Body: &mesh.Envelope_Answer{Answer: a}})
+	case *mesh.Envelope_Answer:
+		if f := n.asks[b.Answer.Id]; f != nil && len(b.Answer.Parts) > 0 {
+			delete(n.asks, b.Answer.Id)
+			f(b.Answer)
+		}
+	case *mesh.Envelope_Assign:
+		k := int(b.Assign.Part)
+		if k < 0 || k >= len(n.names) || n.book.Owner(lead.Leader) != e.From {
+			return
+		}
+		key := lead.PartKey(k)
+		if o := n.book.Owner(key); o != n.s.Name {
+			n.book.Claim(key, o != "")
+		}
+	case *mesh.Envelope_Release:
+		if n.book.Owner(lead.Leader) == e.From {
+			n.book.Release(lead.PartKey(int(b.Release.Part)))
+		}
+	case *mesh.Envelope_News:
+		n.l.Refresh()
+	}
+}
+
+// --- workers ---
+
+// WorkerReply answers a worker.
+type WorkerReply func(status int, body any)
+
+// Report handles POST /v1/report.
+func (n *Node) Report(r *wire.Report, reply WorkerReply) {
+	if r.Machine == "" {
+		reply(400, &wire.Problem{Error: "no machine"})
+		return
+	}
+	if !n.l.Loaded() {
+		reply(503, &wire.Problem{Error: "starting"})
+		return
+	}
+	rec := n.machines[r.Machine]
+	if rec == nil {
+		n.unlisted(r, reply)
+		return
+	}
+	key := lead.PartKey(rec.Part)
+	p := n.owns(rec.Part)
+	if p == nil {
+		o := n.book.Owner(key)
+		if o == "" || o == n.s.Name {
+			reply(503, &wire.Problem{Error: "the part has no owner"})
+			return
+		}
+		reply(421, &wire.Problem{Error: "not the owner", Owner: o})
+		return
+	}
+	m := p.Machines[r.Machine]
+	if m == nil {
+		reply(503, &wire.Problem{Error: "not known yet"})
+		return
+	}
+	if r.Token > m.Token {
+		// It has seen a newer owner, or comes from another part: an answer
+		// with a lower token would hold it here while its lease runs out.
+		n.book.Claim(key, false)
+		reply(503, &wire.Problem{Error: "a higher token is needed"})
+		return
+	}
+	if !p.Report(m, r, true) {
+		reply(503, &wire.Problem{Error: "outdated report"})
+		return
+	}
+	p.Settle()
+	m.Answered(n.w.Now())
+	reply(200, &wire.Commands{Token: m.Token, Orders: notNil(m.Orders(false, n.w.Now()))})
+}
+
+func notNil(c []wire.Command) []wire.Command {
+	if c == nil {
+		return []wire.Command{}
+	}
+	return c
+}
+
+// unlisted: the leader gives a machine without a record to the part with the
+// fewest of its type, then of cores.
+func (n *Node) unlisted(r *wire.Report, reply WorkerReply) {
+	if !n.leads() {
+		if o := n.book.Owner(lead.Leader); o != "" && o != n.s.Name {
+			reply(421, &wire.Problem{Error: "not the leader", Owner: o})
+			return
+		}
+		reply(503, &wire.Problem{Error: "no leader"})
+		return
+	}
+	reply(503, &wire.Problem{Error: "being recorded"})
+	if n.recording[r.Machine] || n.fleet.Gone(r.Machine) || len(n.recording) > 100 {
+		return
+	}
+	n.recording[r.Machine] = true
+	key := part.MachineKey(r.Machine)
+	rec := part.MachineRecord{Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot}
+	n.l.Write(ledger.Urgent, &ledger.Write{
+		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
+			if n.machines[r.Machine] != nil {
+				return nil, nil
+			}
+			rec.W, rec.Part = nonce, n.partFor(&rec)
+			n.machines[r.Machine] = &rec // counted for the next one
+			return []wire.Cond{n.book.Guard(lead.Leader), n.l.Stamp(key)}, []wire.Op{{Put: key, Value: wire.Encode(&rec)}}
+		},
+		Done: func(ok bool, _ uint64) {
+			delete(n.recording, r.Machine)
+			if _, there := n.l.Get(key); !there {
+				delete(n.machines, r.Machine)
+			}
+			if ok {
+				slog.Info("node: machine", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "part", rec.Part)
+				n.News("")
+			}
+		},
+	})
+}
+
+func (n *Node) partFor(rec *part.MachineRecord) int {
+	type share struct {
+		same  int
+		cores float64
+	}
+	shares := make([]share, len(n.names))
+	for _, m := range n.machines {
+		if m.Part < 0 || m.Part >= len(shares) || m.Retire != "" {
+			continue
+		}
+		if m.Type == rec.Type && m.Spot == rec.Spot {
+			shares[m.Part].same++
+		}
+		if t := n.types[m.Type]; t != nil {
+			shares[m.Part].cores += t.Cores
+		}
+	}
+	best := 0
+	for k, s := range shares {
+		b := shares[best]
+		if s.same < b.same || s.same == b.same && s.cores < b.cores {
+			best = k
+		}
+	}
+	return best
+}
+
+// Order sends a machine its orders directly. With nothing to order it still
+// brings the part's token, and the answer is a report.
+func (n *Node) Order(p *part.Part, m *part.Machine) {
+	if n.owns(p.K) != p || m.Ordered() || m.Address == "" || !n.MayLaunch() {
+		return
+	}
+	m.OrdersSent()
+	body := &wire.Commands{Token: m.Token, Session: max(m.Session, 1), Orders: notNil(m.Orders(true, n.w.Now()))}
+	out := &wire.Report{}
+	limit := min(2*time.Second, world.Seconds(n.s.Deployment.Workers.Report))
+	n.w.Call(m.Address, "POST", "/orders", body, out, limit, func(status int) {
+		if status != 200 && status != 409 {
+			m.OrdersLost(body.Token)
+			m.Pause(n.w.Now() + limit)
+			return
+		}
+		m.OrdersAnswered()
+		if n.owns(p.K) != p || p.Machines[m.ID] != m || out.Machine != m.ID {
+			return
+		}
+		if out.Token > m.Token {
+			n.book.Claim(lead.PartKey(p.K), false)
+			m.Pause(n.w.Now() + limit)
+			return
+		}
+		p.Report(m, out, false)
+		if status == 409 {
+			m.Pause(n.w.Now() + limit/8)
+		}
+	})
+}
+
+// --- users ---
+
+func (n *Node) Submit(body []byte, reply intake.Reply) { n.intake.Submit(body, reply) }
+func (n *Node) Poll(id string, reply intake.Reply)     { n.intake.Poll(id, reply) }
+func (n *Node) Abort(id string, reply intake.Reply)    { n.intake.Abort(id, reply) }
+
+// Up tells the load balancer whether to send users here. A node that the
+// state service alone refuses sends them elsewhere; in an outage for all it
+// would only make the way back longer.
+func (n *Node) Up() bool {
+	if !n.l.Loaded() || len(n.types) == 0 {
+		return false
+	}
+	if !n.l.Down() {
+		return true
+	}
+	for _, p := range n.peers {
+		if n.w.Now()-p.ready < 2*n.heartbeat() {
+			return false
+		}
+	}
+	return true
+}
+
+// Describe tells an operator what this controller owns and why jobs wait.
+func (n *Node) Describe() map[string]any {
+	waiting, parts := map[string]string{}, []string{}
+	n.eachPart(func(p *part.Part) {
+		parts = append(parts, fmt.Sprintf("%d: %d machines, %d jobs", p.K, len(p.Machines), len(p.Works)))
+		for id, why := range p.Waiting() {
+			waiting[id] = why
+		}
+	})
+	return map[string]any{"host": n.s.Name, "leader": n.book.Owner(lead.Leader), "leads": n.leads(), "ready": n.ready(),
+		"parts": parts, "waiting": waiting, "jobs": len(n.jobs), "machines": len(n.machines), "intake": n.intake.String()}
+}
--- /dev/null
+++ b/internal/part/job.go
@@ -0,0 +1,232 @@
+package part
+
+import (
+	"sort"
+	"time"
+
+	"curlewspool/internal/wire"
+	"curlewspool/internal/worker"
+)
+
+// JobRecord is what the ledger keeps of a live job, under JobKey.
+type JobRecord struct {
+	W     string   `cbor:"w"`
+	Job   wire.Job `cbor:"j"`
+	At    float64  `cbor:"at"` // time of day of acceptance, seconds
+	Rank  int      `cbor:"r"`  // the leader's margin rank
+	Chunk int      `cbor:"ch"` // tasks of a chunk
+	Parts []int    `cbor:"p"`  // part of each chunk; -1: the leader has yet to choose
+}
+
+// Progress is what a part's owner keeps of a job, under ProgressKey.
+type Progress struct {
+	W       string   `cbor:"w"`
+	Done    [][2]int `cbor:"d"` // ranges of finished tasks, ends included
+	Running int      `cbor:"r"`
+}
+
+// MachineRecord is what the ledger keeps of a machine, under MachineKey.
+type MachineRecord struct {
+	W       string   `cbor:"w"`
+	Part    int      `cbor:"p"`
+	Address string   `cbor:"a"`
+	Type    string   `cbor:"t"`
+	Zone    string   `cbor:"z"`
+	Spot    bool     `cbor:"s"`
+	Jobs    []string `cbor:"j"` // jobs that may be on it
+	Retire  string   `cbor:"x"` // why it is to be returned; "": it is not
+}
+
+// Final is the end of a job, kept for ever under FinalKey.
+type Final struct {
+	W      string  `cbor:"w"`
+	Status string  `cbor:"s"`
+	Tasks  int     `cbor:"n"`
+	At     float64 `cbor:"at"`
+}
+
+// Keys of the ledger. Finals are outside the cached root.
+func JobKey(id string) string     { return "a/j/" + id }
+func MachineKey(id string) string { return "a/m/" + id }
+func FinalKey(id string) string   { return "d/" + id }
+
+// Chunks is the number of chunks of a job.
+func (r *JobRecord) Chunks() int { return len(r.Parts) }
+
+// Span gives the tasks of chunk c.
+func (r *JobRecord) Span(c int) (from, to int) {
+	from = c * r.Chunk
+	to = from + r.Chunk
+	if c == len(r.Parts)-1 || to > r.Job.Tasks {
+		to = r.Job.Tasks
+	}
+	return from, to
+}
+
+// PartOf gives the part that runs task i.
+func (r *JobRecord) PartOf(i int) int {
+	if i >= r.Job.Tasks || r.Chunk <= 0 {
+		return -1
+	}
+	return r.Parts[min(i/r.Chunk, len(r.Parts)-1)]
+}
+
+// Task states inside a part.
+const (
+	idle   = iota
+	placed // on, or about to be on, a machine
+	done   // finished, by any part's word
+)
+
+// Work is a job with tasks in this part.
+type Work struct {
+	Rec   *JobRecord
+	Stamp uint64
+
+	state   []uint8 // of all tasks of the job
+	mine    int     // tasks in this part
+	idle    int     // of them, not started
+	nplaced int
+	left    int // tasks of the whole job not done
+	cursor  int // no idle task of ours is below
+
+	runs      map[worker.Task]*placement
+	saved     int // done tasks of ours that the ledger has
+	doneMine  int
+	dirty     bool // progress to be written
+	writing   bool
+	ending    bool // the final record is being written
+	moving    bool
+	writtenAt time.Duration
+
+	try      uint64 // gang: its attempt
+	broken   bool   // gang: the attempt has failed and is being cleared
+	halting  bool   // gang: being preempted or drained
+	began    time.Duration
+	queuedAt time.Duration
+
+	failedOn map[string]int // machines on which a task of it failed
+	succeeds int
+	notTo    time.Duration // start nothing before
+	why      string        // why it waits, for operators
+	score    float64
+}
+
+type placement struct {
+	m   *Machine
+	run *worker.Run
+}
+
+func newWork(rec *JobRecord, stamp uint64, now time.Duration) *Work {
+	return &Work{Rec: rec, Stamp: stamp, state: make([]uint8, rec.Job.Tasks), left: rec.Job.Tasks,
+		runs: map[worker.Task]*placement{}, queuedAt: now, failedOn: map[string]int{}}
+}
+
+func (w *Work) gang() bool    { return w.Rec.Job.Shape == wire.Gang }
+func (w *Work) service() bool { return w.Rec.Job.Shape == wire.Service }
+
+// recount works out the counters after the chunks of the part changed.
+func (w *Work) recount(part int) {
+	w.mine, w.idle, w.doneMine, w.cursor = 0, 0, 0, 0
+	for c, p := range w.Rec.Parts {
+		if p != part {
+			continue
+		}
+		from, to := w.Rec.Span(c)
+		for i := from; i < to; i++ {
+			w.mine++
+			switch w.state[i] {
+			case idle:
+				w.idle++
+			case done:
+				w.doneMine++
+			}
+		}
+	}
+}
+
+// set moves a task of ours to another state.
+func (w *Work) set(i int, to uint8) {
+	from := w.state[i]
+	if from == to {
+		return
+	}
+	switch from {
+	case idle:
+		w.idle--
+	case placed:
+		w.nplaced--
+	case done:
+		return // for ever
+	}
+	switch to {
+	case idle:
+		w.idle++
+		w.cursor = min(w.cursor, i)
+	case placed:
+		w.nplaced++
+	case done:
+		w.left--
+		w.doneMine++
+	}
+	w.state[i] = to
+}
+
+// nextIdle lists up to n idle tasks of the part.
+func (w *Work) nextIdle(part, n int) []int {
+	var out []int
+	for i := w.cursor; i < len(w.state) && len(out) < n; i++ {
+		if w.state[i] == idle && w.Rec.PartOf(i) == part {
+			if len(out) == 0 {
+				w.cursor = i
+			}
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// absorb takes what another owner, or an earlier one, recorded as done.
+func (w *Work) absorb(p *Progress, part int) {
+	for _, r := range p.Done {
+		for i := max(r[0], 0); i <= r[1] && i < len(w.state); i++ {
+			if w.state[i] == done {
+				continue
+			}
+			if w.Rec.PartOf(i) == part {
+				w.set(i, done)
+			} else {
+				w.state[i] = done
+				w.left--
+			}
+		}
+	}
+}
+
+// ranges lists the done tasks of the part's chunks, as many ranges as fit
+// into limit bytes, longest first: a task that is left out is only run again
+// by a later owner, and then ends at once.
+func (w *Work) ranges(part, limit int) [][2]int {
+	var out [][2]int
+	for c, p := range w.Rec.Parts {
+		if p != part {
+			continue
+		}
+		from, to := w.Rec.Span(c)
+		for i := from; i < to; i++ {
+			if w.state[i] != done {
+				continue
+			}
+			if n := len(out); n > 0 && out[n-1][1] == i-1 {
+				out[n-1][1] = i
+			} else {
+				out = append(out, [2]int{i, i})
+			}
+		}
+	}
+	if fit := limit / 12; len(out) > fit {
+		sort.Slice(out, func(i, j int) bool { return out[i][1]-out[i][0] > out[j][1]-out[j][0] })
+		out = out[:fit]
+	}
+	return out
+}
--- /dev/null
+++ b/internal/part/part.go
@@ -0,0 +1,749 @@
+// Package part runs one part: its queue, its machines, and what is launched
+// and halted there (DESIGN; paper, section 4, "Local-Scheduler").
+package part
+
+import (
+	"fmt"
+	"log/slog"
+	"math"
+	"sort"
+	"time"
+
+	"curlewspool/internal/ledger"
+	"curlewspool/internal/settings"
+	"curlewspool/internal/wire"
+	"curlewspool/internal/worker"
+	"curlewspool/internal/world"
+)
+
+// Host is what a part needs of its controller.
+type Host interface {
+	Now() time.Duration
+	Wall() float64
+	Ledger() *ledger.Ledger
+	Settings() *settings.Settings
+	TypeOf(name string) *wire.MachineType
+	Order(p *Part, m *Machine)
+	// MayLaunch: the grant holds and the cache is recent.
+	MayLaunch() bool
+	// TeamDemand is the cores and GPUs of a team's unfinished jobs.
+	TeamDemand(team string) (cores, gpus float64)
+}
+
+// Machine is a machine of the part.
+type Machine struct {
+	*worker.Machine
+	rec      MachineRecord
+	stored   map[string]bool // jobs that the ledger says may be on it
+	writing  bool
+	retiring string
+	idleAt   time.Duration // when it last became empty
+	fullTo   time.Duration // refused a start: nothing more before
+	strikes  map[string]bool
+	images   map[string]bool
+}
+
+// Retiring tells whether and why the machine is being returned.
+func (m *Machine) Retiring() string { return m.retiring }
+
+// Part is owned by this controller while the ledger says so.
+type Part struct {
+	K        int
+	Token    uint64
+	Machines map[string]*Machine
+	Works    map[string]*Work
+
+	h     Host
+	guard func() wire.Cond
+	bound time.Duration // latest moment at which an earlier owner could answer
+	tries uint64
+	dirty bool
+
+	headWaits bool
+	large     map[string]largeShape // shapes that fill most of a machine
+	silentOK  time.Duration
+	lastPass  time.Duration
+	corr      map[string]float64 // by class: seen run time over estimate
+}
+
+type largeShape struct {
+	job  wire.Job
+	seen time.Duration
+}
+
+// New takes a part over. bound is the latest moment at which an earlier owner
+// may have renewed a worker's lease.
+func New(k int, token uint64, h Host, guard func() wire.Cond, bound time.Duration) *Part {
+	return &Part{K: k, Token: token, Machines: map[string]*Machine{}, Works: map[string]*Work{}, h: h,
+		guard: guard, bound: bound, dirty: true, large: map[string]largeShape{}, corr: map[string]float64{}}
+}
+
+// ProgressKey is where this part's progress of a job is kept.
+func ProgressKey(id string, part int) string { return fmt.Sprintf("a/p/%s/%d", id, part) }
+
+// Renew gives the part a higher token, after a worker showed one.
+func (p *Part) Renew(token uint64) {
+	p.Token = token
+	for _, m := range p.Machines {
+		m.Token = max(m.Token, token)
+	}
+}
+
+// --- what the ledger says ---
+
+// OnJob takes a live job's record (nil: the job is over).
+func (p *Part) OnJob(id string, rec *JobRecord, stamp uint64) {
+	p.dirty = true
+	w := p.Works[id]
+	if rec == nil {
+		if w != nil {
+			p.drop(w)
+		}
+		return
+	}
+	here := false
+	for _, k := range rec.Parts {
+		here = here || k == p.K
+	}
+	if w == nil {
+		if !here {
+			return
+		}
+		w = newWork(rec, stamp, p.h.Now())
+		p.Works[id] = w
+		p.noteLarge(&rec.Job)
+		slog.Debug("part: queued", "part", p.K, "job", id, "tasks", rec.Job.Tasks, "rank", rec.Rank)
+	}
+	w.Rec, w.Stamp = rec, stamp
+	w.recount(p.K)
+}
+
+// OnProgress takes any part's recorded progress of a job.
+func (p *Part) OnProgress(id string, pr *Progress) {
+	if w := p.Works[id]; w != nil && pr != nil {
+		w.absorb(pr, p.K)
+		p.dirty = true
+		p.maybeFinish(w)
+	}
+}
+
+// OnMachine takes a machine's record; nil: the cloud has taken it away for
+// certain, with all that was on it.
+func (p *Part) OnMachine(id string, rec *MachineRecord) {
+	p.dirty = true
+	m := p.Machines[id]
+	if rec == nil || rec.Part != p.K {
+		if m != nil {
+			delete(p.Machines, id)
+			for _, key := range m.Keys() {
+				run := m.Runs[key]
+				delete(m.Runs, key)
+				if !run.Over() {
+					p.gone(m, run)
+				}
+			}
+		}
+		return
+	}
+	if m == nil {
+		m = &Machine{Machine: worker.New(id, p.Token, max(p.bound, p.h.Now())), strikes: map[string]bool{},
+			images: map[string]bool{}, stored: map[string]bool{}, idleAt: p.h.Now()}
+		m.Address, m.Type, m.Zone, m.Spot = rec.Address, rec.Type, rec.Zone, rec.Spot
+		p.Machines[id] = m
+	}
+	m.rec = *rec
+	if rec.Retire != "" {
+		m.retiring = rec.Retire
+	}
+	if !m.writing {
+		m.stored = map[string]bool{}
+		for _, j := range rec.Jobs {
+			m.stored[j] = true
+		}
+	}
+}
+
+// drop removes a job that is over: whatever is there of it must go.
+func (p *Part) drop(w *Work) {
+	w.Rec.Parts = nil
+	for _, m := range p.machines() {
+		for _, key := range m.Keys() {
+			run := m.Runs[key]
+			if run.Job != w.Rec.Job.ID {
+				continue
+			}
+			run.Foreign = true
+			if run.Over() {
+				run.Reap = true
+			} else {
+				m.Stop(run, 0)
+			}
+		}
+		p.press(m)
+	}
+	w.runs = map[worker.Task]*placement{}
+	delete(p.Works, w.Rec.Job.ID)
+}
+
+func (p *Part) press(m *Machine) {
+	if m.Pressing(p.h.Now()) {
+		p.h.Order(p, m)
+	}
+}
+
+func (p *Part) machines() []*Machine {
+	out := make([]*Machine, 0, len(p.Machines))
+	for _, m := range p.Machines {
+		out = append(out, m)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	return out
+}
+
+// --- what workers say ---
+
+// Report takes a worker's report; false if it is outdated.
+func (p *Part) Report(m *Machine, r *wire.Report, posted bool) bool {
+	was := m.Resolved
+	events, ok := m.Machine.Report(r, p.h.Now(), posted)
+	if !ok {
+		return false
+	}
+	if m.Resolved != was {
+		p.dirty = true
+		slog.Debug("part: machine known", "part", p.K, "machine", m.ID, "runs", len(m.Runs))
+	}
+	p.handle(m, events)
+	return true
+}
+
+func (p *Part) handle(m *Machine, events []worker.Event) {
+	for _, e := range events {
+		p.dirty = true
+		switch e.Kind {
+		case worker.Appeared:
+			p.appeared(m, e.Run)
+		case worker.Started:
+			if w := p.Works[e.Run.Job]; w != nil && w.began == 0 {
+				w.began = p.h.Now()
+				w.dirty = true
+			}
+			m.images[p.image(e.Run.Job)] = true
+		case worker.Finished:
+			p.finished(m, e.Run)
+		case worker.Vanished:
+			p.gone(m, e.Run)
+		}
+	}
+	if len(events) > 0 && len(m.Runs) == 0 {
+		m.idleAt = p.h.Now()
+	}
+}
+
+func (p *Part) image(job string) string {
+	if w := p.Works[job]; w != nil {
+		return w.Rec.Job.Image
+	}
+	return ""
+}
+
+// appeared: an earlier owner launched it. It is adopted if the task is ours
+// and nowhere else; otherwise it must go.
+func (p *Part) appeared(m *Machine, run *worker.Run) {
+	w := p.Works[run.Job]
+	ours := w != nil && run.Index < w.Rec.Job.Tasks && w.Rec.PartOf(run.Index) == p.K
+	if ours && run.Over() && run.Cause == wire.Done {
+		if w.state[run.Index] == placed {
+			if pl := w.runs[run.Task]; pl != nil {
+				pl.m.Stop(pl.run, 0)
+				delete(w.runs, run.Task)
+			}
+		}
+		p.taskDone(w, run)
+		return
+	}
+	if !ours || w.state[run.Index] != idle || w.gang() && w.try != 0 && w.try != run.Try {
+		run.Foreign = true
+		if run.Over() {
+			run.Reap = true
+		} else {
+			slog.Info("part: unexpected task is halted", "part", p.K, "machine", m.ID, "task", run.String(), "live", w != nil)
+			m.Stop(run, 0)
+			p.press(m)
+		}
+		return
+	}
+	if run.Over() {
+		run.Reap = true
+		return
+	}
+	w.set(run.Index, placed)
+	w.runs[run.Task] = &placement{m, run}
+	if w.gang() {
+		w.try = run.Try
+	}
+	if run.State == wire.Flushing { // an earlier owner is stopping it
+		run.Halt, run.Grace = true, w.Rec.Job.Save
+		w.halting = true
+	}
+}
+
+func (p *Part) finished(m *Machine, run *worker.Run) {
+	w := p.Works[run.Job]
+	if run.Foreign || w == nil {
+		run.Reap = true
+		return
+	}
+	if run.Cause == wire.Done {
+		if run.Began > 0 {
+			p.learn(&w.Rec.Job, p.h.Now()-run.Began)
+		}
+		w.succeeds++
+		m.strikes = map[string]bool{}
+		p.taskDone(w, run)
+		return
+	}
+	run.Reap = true
+	slog.Info("part: task ended", "part", p.K, "machine", m.ID, "task", run.String(), "cause", run.Cause, "saved", run.Saved)
+	now := p.h.Now()
+	switch run.Cause {
+	case wire.Failed:
+		w.failedOn[m.ID]++
+		if w.succeeds == 0 && len(w.failedOn) >= 3 {
+			// It fails everywhere: the job's fault, not the machines'. It is
+			// tried ever more rarely until its user cancels it.
+			for id := range w.failedOn {
+				if o := p.Machines[id]; o != nil {
+					delete(o.strikes, w.Rec.Job.ID)
+				}
+			}
+			w.notTo = now + p.report()*time.Duration(min(20, len(w.failedOn)+w.failedOn[m.ID]))
+		} else {
+			m.strikes[w.Rec.Job.ID] = true
+			if w.succeeds > 0 && w.failedOn[m.ID] >= 2 {
+				m.strikes["again"] = true
+			}
+			if len(m.strikes) >= 2 && m.retiring == "" {
+				p.retire(m, "faulty")
+			}
+		}
+	case wire.Full, wire.Busy:
+		m.fullTo = now + p.report()
+	case wire.Unknown:
+		w.notTo = now + p.report()
+	}
+	p.release(w, run)
+}
+
+func (p *Part) report() time.Duration {
+	return world.Seconds(p.h.Settings().Deployment.Workers.Report)
+}
+
+// learn follows how far owners' estimates of a class are off.
+func (p *Part) learn(j *wire.Job, took time.Duration) {
+	if j.Estimate <= 0 {
+		return
+	}
+	r := min(max(took.Seconds()/j.Estimate, 0.1), 10)
+	if c, ok := p.corr[j.Class]; ok {
+		r = c + (r-c)/20
+	}
+	p.corr[j.Class] = r
+}
+
+// gone: the run is not there any more and left no end.
+func (p *Part) gone(m *Machine, run *worker.Run) {
+	w := p.Works[run.Job]
+	if run.Foreign || w == nil {
+		return
+	}
+	slog.Info("part: task lost", "part", p.K, "machine", m.ID, "task", run.String())
+	p.release(w, run)
+}
+
+// release returns a task to the queue after its run ended without result.
+func (p *Part) release(w *Work, run *worker.Run) {
+	pl := w.runs[run.Task]
+	if pl == nil || pl.run != run {
+		return
+	}
+	delete(w.runs, run.Task)
+	w.set(run.Index, idle)
+	if w.gang() {
+		w.broken = true
+		p.clearGang(w)
+	}
+	p.dirty = true
+}
+
+// clearGang ends what is left of a failed attempt; the next one may only
+// start when all of it is gone.
+func (p *Part) clearGang(w *Work) {
+	for _, pl := range w.placements() {
+		if w.halting && pl.run.Halt {
+			continue
+		}
+		if pl.m.Stop(pl.run, 0) {
+			delete(w.runs, pl.run.Task)
+			w.set(pl.run.Index, idle)
+			continue
+		}
+		p.press(pl.m)
+	}
+	if w.nplaced == 0 {
+		w.broken, w.halting, w.try = false, false, 0
+	}
+}
+
+func (w *Work) placements() []*placement {
+	out := make([]*placement, 0, len(w.runs))
+	for _, pl := range w.runs {
+		out = append(out, pl)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].run.Index < out[j].run.Index })
+	return out
+}
+
+func (p *Part) taskDone(w *Work, run *worker.Run) {
+	delete(w.runs, run.Task)
+	w.set(run.Index, done)
+	w.dirty = true
+	if w.gang() { // they complete together
+		for i := range w.state {
+			w.set(i, done)
+		}
+	}
+	p.dirty = true
+	p.maybeFinish(w)
+}
+
+// --- what is written ---
+
+// maybeFinish writes the job's end when every task is done.
+func (p *Part) maybeFinish(w *Work) {
+	if w.left > 0 || w.ending || w.service() {
+		return
+	}
+	w.ending = true
+	id := w.Rec.Job.ID
+	l := p.h.Ledger()
+	l.Write(ledger.Urgent, &ledger.Write{
+		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
+			if p.Works[id] != w {
+				return nil, nil
+			}
+			return []wire.Cond{p.guard(), {Key: JobKey(id), Stamp: w.Stamp}, {Key: FinalKey(id)}},
+				[]wire.Op{{Put: FinalKey(id), Value: wire.Encode(&Final{W: nonce, Status: wire.Done, Tasks: w.Rec.Job.Tasks, At: p.h.Wall()})},
+					{Delete: JobKey(id)}}
+		},
+		Done: func(ok bool, _ uint64) {
+			w.ending = false
+			if ok {
+				slog.Info("part: job done", "part", p.K, "job", id)
+			} else if p.Works[id] == w {
+				w.notTo = p.h.Now() + p.report()/4 // the tick tries again
+			}
+		},
+	})
+}
+
+// Settle starts what the latest events made possible.
+func (p *Part) Settle() {
+	if p.dirty {
+		p.Pass()
+	}
+}
+
+// Tick does what time brings: progress writes, leases that end, machines to
+// return. It is called a few times a second.
+func (p *Part) Tick() {
+	now := p.h.Now()
+	for _, w := range p.works() {
+		p.maybeFinish(w)
+		p.writeProgress(w, now)
+	}
+	for _, m := range p.machines() {
+		p.watch(m, now)
+		p.press(m)
+	}
+	if p.dirty || now-p.lastPass > p.report()/2 {
+		p.Pass()
+	}
+}
+
+func (p *Part) works() []*Work {
+	out := make([]*Work, 0, len(p.Works))
+	for _, w := range p.Works {
+		out = append(out, w)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Rec.Job.ID < out[j].Rec.Job.ID })
+	return out
+}
+
+func (p *Part) writeProgress(w *Work, now time.Duration) {
+	if !w.dirty || w.writing || w.ending {
+		return
+	}
+	// All our tasks are done, others run elsewhere: they wait for our word.
+	last := w.doneMine == w.mine && w.left > 0
+	every := p.report()
+	if !last && w.writtenAt > 0 && now-w.writtenAt < every {
+		return
+	}
+	w.writing, w.dirty, w.writtenAt = true, false, now
+	id, urgency := w.Rec.Job.ID, ledger.Later
+	if last {
+		urgency = ledger.Urgent
+	}
+	key := ProgressKey(id, p.K)
+	var ended []*worker.Run
+	l := p.h.Ledger()
+	l.Write(urgency, &ledger.Write{
+		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
+			if p.Works[id] != w {
+				return nil, nil
+			}
+			ended = ended[:0]
+			for _, m := range p.Machines {
+				for _, run := range m.Runs {
+					if run.Job == id && run.Over() && !run.Reap {
+						ended = append(ended, run)
+					}
+				}
+			}
+			limit := int(p.h.Settings().Deployment.State.ValueKB * 1024 * 0.7)
+			v := wire.Encode(&Progress{W: nonce, Done: w.ranges(p.K, limit), Running: w.nplaced})
+			return []wire.Cond{p.guard(), l.Stamp(key), {Key: JobKey(id), Stamp: w.Stamp}}, []wire.Op{{Put: key, Value: v}}
+		},
+		Done: func(ok bool, _ uint64) {
+			w.writing = false
+			if !ok {
+				w.dirty = true
+				return
+			}
+			for _, run := range ended {
+				run.Reap = true
+			}
+		},
+	})
+}
+
+// record writes the machine's record: the jobs that may be on it, and
+// whether it is to be returned.
+func (p *Part) record(m *Machine) {
+	if m.writing {
+		return
+	}
+	m.writing = true
+	key := MachineKey(m.ID)
+	l := p.h.Ledger()
+	var jobs map[string]bool
+	var retire string
+	urgency := ledger.Soon
+	l.Write(urgency, &ledger.Write{
+		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
+			if p.Machines[m.ID] != m {
+				return nil, nil
+			}
+			jobs, retire = map[string]bool{}, m.retiring
+			rec := m.rec
+			rec.W, rec.Retire = nonce, retire
+			for _, run := range m.Runs {
+				if !run.Over() {
+					jobs[run.Job] = true
+				}
+			}
+			if !m.Resolved {
+				for j := range m.stored {
+					jobs[j] = true
+				}
+			}
+			rec.Jobs = rec.Jobs[:0:0]
+			for j := range jobs {
+				rec.Jobs = append(rec.Jobs, j)
+			}
+			sort.Strings(rec.Jobs)
+			return []wire.Cond{p.guard(), l.Stamp(key)}, []wire.Op{{Put: key, Value: wire.Encode(&rec)}}
+		},
+		Done: func(ok bool, _ uint64) {
+			m.writing = false
+			if p.Machines[m.ID] != m {
+				return
+			}
+			if ok {
+				m.stored = jobs
+			}
+			again := m.retiring != m.rec.Retire && !(ok && retire == m.retiring)
+			for _, run := range m.Runs {
+				if run.Hold && m.stored[run.Job] {
+					run.Hold = false
+				}
+				again = again || run.Hold
+			}
+			p.press(m)
+			if again {
+				p.record(m)
+			}
+		},
+	})
+}
+
+// retire takes a machine out of use for good; the leader has it deleted.
+func (p *Part) retire(m *Machine, why string) {
+	if m.retiring != "" {
+		return
+	}
+	slog.Info("part: machine is returned", "part", p.K, "machine", m.ID, "type", m.Type, "spot", m.Spot, "why", why)
+	m.retiring = why
+	p.record(m)
+}
+
+// watch judges one machine.
+func (p *Part) watch(m *Machine, now time.Duration) {
+	s := p.h.Settings()
+	lease := world.Seconds(s.Deployment.Workers.Lease)
+	if m.LeaseOver(now, lease, settings.Drift) && now-m.LastHeard > lease && (!m.Resolved || len(m.Runs) > 0) {
+		slog.Info("part: lease is over", "part", p.K, "machine", m.ID, "runs", len(m.Runs))
+		p.handle(m, m.Expire())
+		p.dirty = true
+	}
+	if m.retiring != "" {
+		if m.rec.Retire == "" {
+			p.record(m)
+		}
+		return
+	}
+	if m.Noticed {
+		p.drain(m, now)
+		if now > m.Notice+p.report() && now-m.LastHeard > 2*p.report() {
+			p.retire(m, "taken")
+			return
+		}
+	}
+	if now-m.LastHeard > lease/2 && p.alone(m, now) {
+		p.retire(m, "silent")
+		return
+	}
+	if len(m.Runs) > 0 {
+		m.idleAt = now
+	} else if m.Resolved && p.idleTooLong(m, now) {
+		p.retire(m, "idle")
+	}
+}
+
+// alone tells whether a silent machine is silent by itself: if many are, the
+// network or this controller is at fault, and deleting them would only
+// destroy work.
+func (p *Part) alone(m *Machine, now time.Duration) bool {
+	silent, all := 0, 0
+	for _, o := range p.Machines {
+		if o.retiring == "" {
+			all++
+			if now-o.LastHeard > 2*p.report() {
+				silent++
+			}
+		}
+	}
+	return silent*3 <= all || silent == 1 && all > 1
+}
+
+// drain stops what can save its progress before a spot machine is taken, and
+// cannot end before.
+func (p *Part) drain(m *Machine, now time.Duration) {
+	for _, key := range m.Keys() {
+		run := m.Runs[key]
+		w := p.Works[run.Job]
+		if w == nil || run.Over() || run.Halt || run.Foreign {
+			continue
+		}
+		j := &w.Rec.Job
+		ends := run.Began + p.estimate(j)
+		if run.Began > 0 && ends < m.Notice {
+			continue
+		}
+		if j.Mark <= 0 && run.Began > 0 && !w.service() {
+			continue // nothing to save, it may yet end in time
+		}
+		p.stopRun(w, &placement{m, run}, "spot notice")
+	}
+}
+
+// stopRun stops a task in an orderly way; a gang as a whole.
+func (p *Part) stopRun(w *Work, pl *placement, why string) {
+	list := []*placement{pl}
+	if w.gang() {
+		if w.halting {
+			return
+		}
+		w.halting = true
+		list = w.placements()
+	}
+	for _, o := range list {
+		grace := 0.0
+		if w.Rec.Job.Mark > 0 {
+			grace = w.Rec.Job.Save + 1
+		}
+		slog.Info("part: task is stopped", "part", p.K, "machine", o.m.ID, "task", o.run.String(), "why", why)
+		if o.m.Stop(o.run, grace) {
+			p.release(w, o.run)
+			continue
+		}
+		p.press(o.m)
+	}
+}
+
+func (p *Part) idleTooLong(m *Machine, now time.Duration) bool {
+	t := p.h.TypeOf(m.Type)
+	if t == nil {
+		return false
+	}
+	keep := world.Seconds(max(t.Boot*p.h.Settings().Rent.IdleBoots, minBilled))
+	if m.Spot {
+		keep = world.Seconds(max(t.Boot, minBilled/2))
+	}
+	for _, s := range p.large {
+		// Few machines take such jobs: one that does is kept as long as the
+		// next may be expected.
+		if now-s.seen < 4*keep && p.allowed(m, &s.job) {
+			keep *= 2
+			break
+		}
+	}
+	if now-m.idleAt < keep {
+		return false
+	}
+	for _, w := range p.Works {
+		if w.idle > 0 && p.allowed(m, &w.Rec.Job) {
+			return false
+		}
+	}
+	return true
+}
+
+// minBilled is the least time the cloud charges (PROTOCOL, price).
+const minBilled = 60.0
+
+// estimate is the expected run time of a task, corrected by what its class
+// showed.
+func (p *Part) estimate(j *wire.Job) time.Duration {
+	if j.Shape == wire.Service {
+		return math.MaxInt64 / 4
+	}
+	c, ok := p.corr[j.Class]
+	if !ok {
+		c = 1
+	}
+	return world.Seconds(max(j.Estimate, 1) * c)
+}
+
+func (p *Part) noteLarge(j *wire.Job) {
+	if j.Shape == wire.Gang || j.Tasks == 1 {
+		p.large[fmt.Sprintf("%s/%s/%v", j.Class, j.Zone, j.Types)] = largeShape{*j, p.h.Now()}
+		for len(p.large) > 64 {
+			for k := range p.large {
+				delete(p.large, k)
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/part/pass.go
@@ -0,0 +1,756 @@
+package part
+
+import (
+	"log/slog"
+	"math"
+	"sort"
+	"time"
+
+	"curlewspool/internal/dispatch"
+	"curlewspool/internal/ledger"
+	"curlewspool/internal/mesh"
+	"curlewspool/internal/settings"
+	"curlewspool/internal/wire"
+	"curlewspool/internal/worker"
+	"curlewspool/internal/world"
+)
+
+// room is what is free on a machine during one pass.
+type room struct {
+	m                *Machine
+	t                *wire.MachineType
+	cores, gpus, mem float64
+	reserved         bool
+	at               time.Duration // when the head is to start here
+	spareC, spareG   float64       // what the head leaves at that time
+	spareM           float64
+}
+
+const eps = 1e-9
+
+func (r *room) fits(j *wire.Job) bool {
+	return r.cores+eps >= j.Cores && r.gpus+eps >= j.GPUs && r.mem+eps >= j.Memory
+}
+
+func (r *room) take(j *wire.Job) {
+	r.cores -= j.Cores
+	r.gpus -= j.GPUs
+	r.mem -= j.Memory
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// Allows tells whether a job may run on machines of a type, zone and kind.
+func Allows(j *wire.Job, t *wire.MachineType, zone string, spot bool) bool {
+	return t != nil && (j.Types == nil || contains(j.Types, t.Name)) && (j.Zone == "" || j.Zone == zone) &&
+		(!spot || j.Spot) && j.Cores <= t.Cores && j.GPUs <= t.GPUs && j.Memory <= t.Memory
+}
+
+func (p *Part) allowed(m *Machine, j *wire.Job) bool {
+	return Allows(j, p.h.TypeOf(m.Type), m.Zone, m.Spot)
+}
+
+// usable tells whether a machine may get more to do.
+func (p *Part) usable(m *Machine, now time.Duration) bool {
+	return m.Resolved && m.Session > 0 && m.retiring == "" && !m.Noticed && now >= m.fullTo &&
+		now-m.LastHeard < 3*p.report()
+}
+
+func (p *Part) rooms(now time.Duration) []*room {
+	var out []*room
+	for _, m := range p.machines() {
+		t := p.h.TypeOf(m.Type)
+		if t == nil || !p.usable(m, now) {
+			continue
+		}
+		r := &room{m: m, t: t, cores: t.Cores, gpus: t.GPUs, mem: t.Memory}
+		unknown := false
+		for _, run := range m.Runs {
+			if run.Over() {
+				continue
+			}
+			if w := p.Works[run.Job]; w != nil {
+				r.take(&w.Rec.Job)
+			} else {
+				unknown = true // of a job that is over: it goes soon
+			}
+		}
+		if !unknown {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Score is the weighted priority of a queued job (DESIGN; paper, section 4).
+// The weight of the user's priority is ours: PROTOCOL lets a higher one
+// preempt, so it must also be ahead in the queue.
+func Score(s *settings.ScoreSettings, j *wire.Job, age, shortest, estimate float64) float64 {
+	v := s.Aging*age + s.Priority*float64(j.Rank)
+	if estimate > 0 {
+		v += s.Short * shortest / estimate
+	}
+	d := s.DeadlineMin
+	if j.Deadline > 0 {
+		ends := age + estimate
+		from := j.Deadline - s.K*estimate
+		if ends > from && ends <= j.Deadline && j.Deadline > from {
+			d += (s.DeadlineMax - s.DeadlineMin) * (ends - from) / (j.Deadline - from)
+		}
+	}
+	return v + d
+}
+
+func (p *Part) queue(now time.Duration) []*Work {
+	blocked := map[string]bool{}
+	for _, m := range p.Machines {
+		if !m.Resolved {
+			for j := range m.stored {
+				blocked[j] = true
+			}
+		}
+	}
+	var q []*Work
+	shortest := math.Inf(1)
+	for _, w := range p.works() {
+		switch {
+		case w.idle == 0 || w.ending || w.moving:
+			continue
+		case blocked[w.Rec.Job.ID]:
+			w.why = "may be on a machine that is silent"
+			continue
+		case now < w.notTo:
+			w.why = "its last start failed"
+			continue
+		case w.gang() && (w.broken || w.halting || w.nplaced > 0):
+			w.why = "its last attempt is being cleared"
+			continue
+		}
+		q = append(q, w)
+		if e := w.Rec.Job.Estimate; e > 0 {
+			shortest = min(shortest, e)
+		}
+	}
+	s := &p.h.Settings().Score
+	wall := p.h.Wall()
+	for _, w := range q {
+		j := &w.Rec.Job
+		w.score = Score(s, j, wall-w.Rec.At, shortest, j.Estimate)
+		if p.guaranteed(j.Team) {
+			w.score += 1e9
+		}
+	}
+	sort.SliceStable(q, func(i, k int) bool { return q[i].score > q[k].score })
+	return q
+}
+
+// guaranteed: a team whose unfinished jobs fit into its guarantee need not
+// wait for others.
+func (p *Part) guaranteed(team string) bool {
+	t := p.h.Settings().Team(team)
+	if t == nil || t.Cores <= 0 && t.GPUs <= 0 {
+		return false
+	}
+	c, g := p.h.TeamDemand(team)
+	return c <= t.Cores+eps && g <= t.GPUs+eps
+}
+
+// allowance is what a team may still start here; a team with a limit has all
+// its jobs in one part.
+func (p *Part) allowance(team string) (cores, gpus float64) {
+	t := p.h.Settings().Team(team)
+	cores, gpus = math.Inf(1), math.Inf(1)
+	if t == nil || !t.Limited() {
+		return cores, gpus
+	}
+	if t.CoresMax > 0 {
+		cores = t.CoresMax
+	}
+	if t.GPUsMax > 0 {
+		gpus = t.GPUsMax
+	}
+	for _, m := range p.Machines {
+		if !m.Resolved && len(m.stored) > 0 {
+			return 0, 0 // what it runs is not known
+		}
+		for _, run := range m.Runs {
+			if run.Over() {
+				continue
+			}
+			w := p.Works[run.Job]
+			if w == nil {
+				return 0, 0 // of a job that is over; whose is not known
+			}
+			if w.Rec.Job.Team == team {
+				cores -= w.Rec.Job.Cores
+				gpus -= w.Rec.Job.GPUs
+			}
+		}
+	}
+	return cores, gpus
+}
+
+// Pass starts what can be started: the head and everything that does not
+// delay it.
+func (p *Part) Pass() {
+	now := p.h.Now()
+	p.lastPass, p.dirty = now, false
+	if !p.h.MayLaunch() {
+		return
+	}
+	q := p.queue(now)
+	rooms := p.rooms(now)
+	p.headWaits = false
+	for _, w := range q {
+		j := &w.Rec.Job
+		full := p.start(w, rooms, now)
+		if full || p.headWaits {
+			continue
+		}
+		// The head: reserve what it needs at the earliest time.
+		p.headWaits = true
+		w.why = "is the head and waits for room"
+		if c, g := p.allowance(j.Team); c < j.Cores || g < j.GPUs {
+			w.why, p.headWaits = "its team's limit is reached", false
+			continue
+		}
+		if !p.reserve(w, rooms, now) {
+			p.headWaits = false // no machine here can ever take it
+			w.why = "no machine of this part can take it"
+		}
+	}
+}
+
+// start starts as much of w as fits; true if nothing of it is left waiting.
+func (p *Part) start(w *Work, rooms []*room, now time.Duration) bool {
+	j := &w.Rec.Job
+	n := w.idle
+	tc, tg := p.allowance(j.Team)
+	if j.Cores > 0 {
+		n = int(min(float64(n), math.Floor(tc/j.Cores+eps)))
+	}
+	if j.GPUs > 0 {
+		n = int(min(float64(n), math.Floor(tg/j.GPUs+eps)))
+	}
+	if n <= 0 || w.gang() && n < j.Tasks {
+		w.why = "its team's limit is reached"
+		return false
+	}
+	fits := make([]*room, 0, len(rooms))
+	total := 0
+	for _, r := range rooms {
+		if r.fits(j) && p.allowed(r.m, j) && p.backfills(r, j, now) && !p.kept(r, j) {
+			fits = append(fits, r)
+			total++
+		}
+	}
+	if total == 0 {
+		w.why = "no room"
+		return false
+	}
+	cost := map[*room]float64{}
+	for _, r := range fits {
+		cost[r] = p.cost(r, j)
+	}
+	sort.SliceStable(fits, func(a, b int) bool { return cost[fits[a]] < cost[fits[b]] })
+	plan := p.plan(w, fits, n, now)
+	if len(plan) == 0 || w.gang() && len(plan) < j.Tasks {
+		w.why = "no room for the whole gang"
+		return false
+	}
+	if w.gang() || w.try == 0 {
+		p.tries++
+		w.try = p.Token<<20 + p.tries
+	}
+	for k, i := range w.nextIdle(p.K, len(plan)) {
+		r := plan[k]
+		t := worker.Task{Job: j.ID, Index: i}
+		p.tries++
+		try := w.try
+		if !w.gang() {
+			try = p.Token<<20 + p.tries
+		}
+		hold := !r.m.stored[j.ID] || r.m.writing
+		run := r.m.Place(t, try, hold, now)
+		w.runs[t] = &placement{r.m, run}
+		w.set(i, placed)
+		if hold {
+			p.record(r.m)
+		}
+	}
+	for _, r := range plan {
+		p.press(r.m)
+	}
+	slog.Debug("part: starts", "part", p.K, "job", j.ID, "tasks", len(plan), "left", w.idle)
+	w.why = "no room for more"
+	return w.idle == 0
+}
+
+// plan chooses a room for each of up to n tasks, observing together and
+// apart. Rooms given are taken from.
+func (p *Part) plan(w *Work, fits []*room, n int, now time.Duration) []*room {
+	j := &w.Rec.Job
+	inZone := map[string]int{}
+	zone := ""
+	for _, pl := range w.runs {
+		inZone[pl.m.Zone]++
+		zone = pl.m.Zone
+	}
+	try := func(only string) (plan []*room, undo func()) {
+		count := map[string]int{}
+		for z, c := range inZone {
+			count[z] = c
+		}
+		for _, r := range fits {
+			if only != "" && r.m.Zone != only {
+				continue
+			}
+			for len(plan) < n && r.fits(j) && p.backfills(r, j, now) {
+				if j.Spread && count[r.m.Zone] >= (j.Tasks+1)/2 {
+					break
+				}
+				count[r.m.Zone]++
+				r.take(j)
+				r.spareC -= j.Cores
+				r.spareG -= j.GPUs
+				r.spareM -= j.Memory
+				plan = append(plan, r)
+			}
+		}
+		return plan, func() {
+			for _, r := range plan {
+				r.cores += j.Cores
+				r.gpus += j.GPUs
+				r.mem += j.Memory
+				r.spareC += j.Cores
+				r.spareG += j.GPUs
+				r.spareM += j.Memory
+			}
+		}
+	}
+	if !j.OneZone {
+		plan, undo := try("")
+		if w.gang() && len(plan) < n {
+			undo()
+			return nil
+		}
+		return plan
+	}
+	zones := []string{zone}
+	if zone == "" {
+		zones = zones[:0]
+		for _, r := range fits {
+			if !contains(zones, r.m.Zone) {
+				zones = append(zones, r.m.Zone)
+			}
+		}
+	}
+	best, size := "", 0
+	for _, z := range zones {
+		plan, undo := try(z)
+		undo()
+		if len(plan) > size {
+			best, size = z, len(plan)
+		}
+	}
+	if size == 0 || w.gang() && size < n {
+		return nil
+	}
+	plan, _ := try(best)
+	return plan
+}
+
+// backfills tells whether a start on r does not delay the head.
+func (p *Part) backfills(r *room, j *wire.Job, now time.Duration) bool {
+	if !r.reserved {
+		return true
+	}
+	if now+p.fetch(r, j)+p.estimate(j) <= r.at {
+		return true
+	}
+	return r.spareC+eps >= j.Cores && r.spareG+eps >= j.GPUs && r.spareM+eps >= j.Memory
+}
+
+func (p *Part) fetch(r *room, j *wire.Job) time.Duration {
+	if r.m.images[j.Image] || r.t.Fetch <= 0 {
+		return 0
+	}
+	return world.Seconds(j.ImageGb / r.t.Fetch)
+}
+
+// kept: a machine that one of the large shapes seen lately would fill is not
+// cut up for small tasks that others can take as well.
+func (p *Part) kept(r *room, j *wire.Job) bool {
+	if r.m.Spot {
+		return false
+	}
+	for _, s := range p.large {
+		l := &s.job
+		if 2*l.Cores > r.t.Cores && 2*j.Cores < l.Cores && l.Rank >= j.Rank && Allows(l, r.t, r.m.Zone, r.m.Spot) {
+			return true
+		}
+	}
+	return false
+}
+
+// cost orders the machines for a task, in seconds: the fetch it would wait
+// for, and small leanings to spot machines, to small ones and to ones that
+// are in use already.
+func (p *Part) cost(r *room, j *wire.Job) float64 {
+	c := p.fetch(r, j).Seconds()
+	report := p.h.Settings().Deployment.Workers.Report
+	if !r.m.Spot && j.Spot {
+		c += report
+	}
+	if r.cores >= r.t.Cores {
+		c += report
+	}
+	c += report * r.cores / (r.t.Cores + 1)
+	return c + 0.01*r.t.Cores
+}
+
+// reserve finds where the head can start at the earliest and marks it; work
+// of lower priority is stopped if that lets it start now.
+func (p *Part) reserve(w *Work, rooms []*room, now time.Duration) bool {
+	j := &w.Rec.Job
+	need := 1
+	if w.gang() {
+		need = j.Tasks
+	}
+	type option struct {
+		r    *room
+		at   time.Duration
+		n    int
+		c, g float64
+		mem  float64
+	}
+	var options []option
+	for _, r := range rooms {
+		if !p.allowed(r.m, j) {
+			continue
+		}
+		type end struct {
+			at  time.Duration
+			job *wire.Job
+		}
+		var ends []end
+		for _, run := range r.m.Runs {
+			o := p.Works[run.Job]
+			if run.Over() || o == nil {
+				continue
+			}
+			at := max(run.Began, run.Placed) + p.estimate(&o.Rec.Job)
+			if run.Halt {
+				at = now + world.Seconds(o.Rec.Job.Save)
+			}
+			// Overrunning its estimate (DESIGN's weak spot): expected to go
+			// on for a tenth of it.
+			ends = append(ends, end{max(at, now+p.estimate(&o.Rec.Job)/10), &o.Rec.Job})
+		}
+		sort.Slice(ends, func(a, b int) bool { return ends[a].at < ends[b].at })
+		c, g, mem, at := r.cores, r.gpus, r.mem, now
+		for k := 0; ; k++ {
+			n := 0
+			for n < need && c-float64(n)*j.Cores+eps >= j.Cores && g-float64(n)*j.GPUs+eps >= j.GPUs && mem-float64(n)*j.Memory+eps >= j.Memory {
+				n++
+			}
+			if n > 0 && (len(options) == 0 || options[len(options)-1].r != r || n > options[len(options)-1].n) {
+				options = append(options, option{r, at, n, c, g, mem})
+			}
+			if n >= need || k >= len(ends) {
+				break
+			}
+			c += ends[k].job.Cores
+			g += ends[k].job.GPUs
+			mem += ends[k].job.Memory
+			at = ends[k].at
+		}
+	}
+	sort.SliceStable(options, func(a, b int) bool { return options[a].at < options[b].at })
+	best := map[*room]option{}
+	have := 0
+	for _, o := range options {
+		have += o.n - best[o.r].n
+		best[o.r] = o
+		if have >= need {
+			break
+		}
+	}
+	if have < need {
+		return false
+	}
+	if p.preempt(w, rooms, need, now) {
+		return true
+	}
+	for r, o := range best {
+		r.reserved, r.at = true, o.at
+		r.spareC = o.c - float64(o.n)*j.Cores
+		r.spareG = o.g - float64(o.n)*j.GPUs
+		r.spareM = o.mem - float64(o.n)*j.Memory
+	}
+	return true
+}
+
+// preempt stops work that may be stopped for w (PROTOCOL, "Preemption") if
+// that frees room for the tasks it needs. While victims save, their room
+// stays reserved for w.
+func (p *Part) preempt(w *Work, rooms []*room, need int, now time.Duration) bool {
+	j := &w.Rec.Job
+	entitled := p.guaranteed(j.Team)
+	type plan struct {
+		r       *room
+		victims []*placement
+		lost    float64
+	}
+	var plans []plan
+	for _, r := range rooms {
+		if !p.allowed(r.m, j) || p.kept(r, j) {
+			continue
+		}
+		var vs []*placement
+		for _, key := range r.m.Keys() {
+			run := r.m.Runs[key]
+			o := p.Works[run.Job]
+			if o == nil || run.Over() || o == w {
+				continue
+			}
+			if o.Rec.Job.Rank < j.Rank || entitled && p.borrows(o.Rec.Job.Team, j.Team) {
+				vs = append(vs, &placement{r.m, run})
+			}
+		}
+		lost := func(v *placement) float64 {
+			o := &p.Works[v.run.Job].Rec.Job
+			if v.run.Began == 0 || v.run.Halt {
+				return 0
+			}
+			if o.Mark > 0 {
+				return o.Save * o.Cores
+			}
+			return (now - v.run.Began).Seconds() * o.Cores
+		}
+		sort.SliceStable(vs, func(a, b int) bool { return lost(vs[a]) < lost(vs[b]) })
+		c, g, mem := r.cores, r.gpus, r.mem
+		pl := plan{r: r}
+		for _, v := range vs {
+			if c+eps >= j.Cores && g+eps >= j.GPUs && mem+eps >= j.Memory {
+				break
+			}
+			o := &p.Works[v.run.Job].Rec.Job
+			c, g, mem = c+o.Cores, g+o.GPUs, mem+o.Memory
+			pl.victims = append(pl.victims, v)
+			pl.lost += lost(v)
+		}
+		if c+eps >= j.Cores && g+eps >= j.GPUs && mem+eps >= j.Memory {
+			plans = append(plans, pl)
+		}
+	}
+	if len(plans) < need || need > 1 && j.OneZone {
+		return false
+	}
+	sort.SliceStable(plans, func(a, b int) bool { return plans[a].lost < plans[b].lost })
+	any := false
+	for _, pl := range plans[:need] {
+		for _, v := range pl.victims {
+			any = true
+			if !v.run.Halt {
+				p.stopRun(p.Works[v.run.Job], v, "preempted by "+j.ID)
+			}
+		}
+		pl.r.reserved, pl.r.at = true, now
+		pl.r.spareC, pl.r.spareG, pl.r.spareM = 0, 0, 0
+	}
+	return any
+}
+
+// borrows: the team runs more here than its guarantee.
+func (p *Part) borrows(team, other string) bool {
+	if team == other {
+		return false
+	}
+	t := p.h.Settings().Team(team)
+	var c, g float64
+	for _, w := range p.Works {
+		if w.Rec.Job.Team == team {
+			c += w.Rec.Job.Cores * float64(w.nplaced)
+			g += w.Rec.Job.GPUs * float64(w.nplaced)
+		}
+	}
+	return t == nil || c > t.Cores+eps || g > t.GPUs+eps
+}
+
+// --- what others are told, and moves ---
+
+// Status is told to all members at each heartbeat.
+func (p *Part) Status(top int) (*mesh.PartStatus, []*mesh.Gap) {
+	now := p.h.Now()
+	s := dispatch.NewSlots(top)
+	var gaps []*mesh.Gap
+	for _, w := range p.works() {
+		if w.idle == 0 || w.ending {
+			continue
+		}
+		s.Add(min(w.Rec.Rank, top), dispatch.Work(&w.Rec.Job, w.idle))
+		if now >= w.notTo && len(gaps) < 64 && !w.broken && !w.halting {
+			gaps = append(gaps, &mesh.Gap{Job: w.Rec.Job.ID, Tasks: int32(w.idle), WaitedS: (now - w.queuedAt).Seconds()})
+		}
+	}
+	out := &mesh.PartStatus{Part: int32(p.K), Load: s.Load, HeadWaits: p.headWaits}
+	for _, c := range s.Count {
+		out.Count = append(out.Count, int32(c))
+	}
+	for _, r := range p.rooms(now) {
+		if r.cores <= 0 || len(out.Free) >= 32 {
+			continue
+		}
+		out.Free = append(out.Free, &mesh.Room{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot, Cores: r.cores, Gpus: r.gpus, MemoryGb: r.mem})
+	}
+	return out, gaps
+}
+
+// Move hands a queued chunk to a part that has free room for it now; others
+// are the parts' latest statuses. At most one move is under way.
+func (p *Part) Move(others []*mesh.PartStatus) {
+	now := p.h.Now()
+	if !p.h.MayLaunch() {
+		return
+	}
+	for _, w := range p.queue(now) {
+		j := &w.Rec.Job
+		if t := p.h.Settings().Team(j.Team); t != nil && t.Limited() {
+			continue
+		}
+		if now-w.queuedAt < p.report()/8 {
+			continue
+		}
+		for c, k := range w.Rec.Parts {
+			if k != p.K {
+				continue
+			}
+			from, to := w.Rec.Span(c)
+			n, still := 0, true
+			for i := from; i < to; i++ {
+				if w.state[i] == placed {
+					still = false
+					break
+				}
+				if w.state[i] == idle {
+					n++
+				}
+			}
+			if !still || n == 0 {
+				continue
+			}
+			for _, o := range others {
+				if int(o.Part) != p.K && !o.HeadWaits && p.roomFor(j, n, w.gang(), o) {
+					p.move(w, c, int(o.Part))
+					return
+				}
+			}
+		}
+	}
+}
+
+// roomFor counts the tasks that fit into another part's free room, and takes
+// them from the copy of its status, so that the next move sees the rest.
+func (p *Part) roomFor(j *wire.Job, n int, all bool, o *mesh.PartStatus) bool {
+	fit := 0
+	zone := map[string]int{}
+	count := func(f *mesh.Room) int {
+		if !Allows(j, p.h.TypeOf(f.Type), f.Zone, f.Spot) {
+			return 0
+		}
+		k := math.Inf(1)
+		if j.Cores > 0 {
+			k = min(k, math.Floor(f.Cores/j.Cores+eps))
+		}
+		if j.GPUs > 0 {
+			k = min(k, math.Floor(f.Gpus/j.GPUs+eps))
+		}
+		if j.Memory > 0 {
+			k = min(k, math.Floor(f.MemoryGb/j.Memory+eps))
+		}
+		return int(min(k, float64(n)))
+	}
+	for _, f := range o.Free {
+		if p.kept(&room{m: &Machine{Machine: &worker.Machine{Zone: f.Zone, Spot: f.Spot}}, t: p.h.TypeOf(f.Type)}, j) {
+			continue
+		}
+		k := count(f)
+		fit += k
+		zone[f.Zone] += k
+	}
+	if j.OneZone {
+		fit = 0
+		for _, k := range zone {
+			fit = max(fit, k)
+		}
+	}
+	want := n
+	if !all {
+		want = (n + 1) / 2
+	}
+	if fit < want {
+		return false
+	}
+	left := n
+	for _, f := range o.Free {
+		k := min(count(f), left)
+		f.Cores -= float64(k) * j.Cores
+		f.Gpus -= float64(k) * j.GPUs
+		f.MemoryGb -= float64(k) * j.Memory
+		left -= k
+	}
+	return true
+}
+
+func (p *Part) move(w *Work, c, to int) {
+	id := w.Rec.Job.ID
+	w.moving = true
+	l := p.h.Ledger()
+	l.Write(ledger.Soon, &ledger.Write{
+		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
+			if p.Works[id] != w || c >= len(w.Rec.Parts) || w.Rec.Parts[c] != p.K {
+				return nil, nil
+			}
+			from, end := w.Rec.Span(c)
+			for i := from; i < end; i++ {
+				if w.state[i] == placed {
+					return nil, nil
+				}
+			}
+			rec := *w.Rec
+			rec.W = nonce
+			rec.Parts = append([]int(nil), rec.Parts...)
+			rec.Parts[c] = to
+			return []wire.Cond{p.guard(), {Key: JobKey(id), Stamp: w.Stamp}}, []wire.Op{{Put: JobKey(id), Value: wire.Encode(&rec)}}
+		},
+		Done: func(ok bool, _ uint64) {
+			w.moving = false
+			p.dirty = true
+			if ok {
+				slog.Info("part: chunk moved to free room", "job", id, "chunk", c, "from", p.K, "to", to)
+				if w.mine == 0 && len(w.runs) == 0 && p.Works[id] == w {
+					delete(p.Works, id)
+				}
+			}
+		},
+	})
+}
+
+// Waiting says for each queued job why it waits.
+func (p *Part) Waiting() map[string]string {
+	out := map[string]string{}
+	for id, w := range p.Works {
+		if w.idle > 0 {
+			out[id] = w.why
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/worker/worker.go
@@ -0,0 +1,357 @@
+// Package worker follows one machine: what its reports prove about the tasks
+// on it, what it is to be told, when its lease is surely over.
+//
+// The rule it guards is "never twice": a task is called gone only after a
+// report newer than its launch that does not list it, or when the lease has
+// provably ended. Silence and lists prove nothing.
+package worker
+
+import (
+	"math"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"curlewspool/internal/wire"
+)
+
+// Task names one task of a job.
+type Task struct {
+	Job   string
+	Index int
+}
+
+func (t Task) String() string { return t.Job + "/" + strconv.Itoa(t.Index) }
+
+// ParseTask reads "job/3".
+func ParseTask(s string) (Task, bool) {
+	i := strings.LastIndexByte(s, '/')
+	if i < 0 {
+		return Task{}, false
+	}
+	n, err := strconv.Atoi(s[i+1:])
+	return Task{s[:i], n}, err == nil && n >= 0
+}
+
+// RunKey tells one start of a task from another.
+type RunKey struct {
+	Task
+	Try uint64
+}
+
+// Run is one attempt of a task that is, or may be, or is about to be on the
+// machine.
+type Run struct {
+	RunKey
+	State string // as last reported; "" while not seen there
+	Cause string
+	Saved bool
+
+	Hold    bool // not to be launched before the ledger knows
+	Reap    bool // its end is recorded: the worker may forget it
+	Halt    bool
+	Grace   float64
+	Placed  time.Duration
+	Began   time.Duration // first seen running; 0 before
+	Foreign bool          // of no job that is ours to run: being removed
+
+	told           time.Duration // when it was last told to halt; 0: never
+	sent           bool
+	direct         bool   // the launch went to /orders, not into an answer
+	session, seq   uint64 // newest report when the launch was sent
+	reapSent       bool
+	reapS, reapSeq uint64
+}
+
+// MayBeThere tells whether the task could be on the machine.
+func (r *Run) MayBeThere() bool { return r.sent || r.State != "" }
+
+// Over tells whether the run has ended there.
+func (r *Run) Over() bool { return r.State == wire.Ended }
+
+// Machine is one machine of a part.
+type Machine struct {
+	ID, Address, Type, Zone string
+	Spot                    bool
+
+	Token    uint64 // what we answer with; only grows
+	Base     uint64 // reports with at least this token were made after our takeover
+	Session  uint64
+	Seq      uint64
+	Resolved bool // its report after our takeover is known, or its lease is over
+	Notice   time.Duration
+	Noticed  bool
+
+	LastHeard  time.Duration
+	LastAnswer time.Duration // latest moment at which its lease may have been renewed
+
+	Runs map[RunKey]*Run
+
+	doubt   uint64 // token of direct orders whose fate is unknown; 0: none
+	ordered bool   // direct orders are in flight
+	pause   time.Duration
+}
+
+// New makes a machine whose lease may have been renewed up to lastAnswer by
+// an earlier owner.
+func New(id string, base uint64, lastAnswer time.Duration) *Machine {
+	return &Machine{ID: id, Token: base, Base: base, LastAnswer: lastAnswer, LastHeard: lastAnswer, Runs: map[RunKey]*Run{}}
+}
+
+// Event is what a report changed.
+type Event struct {
+	Run  *Run
+	Kind EventKind
+}
+
+// EventKind tells events apart.
+type EventKind int
+
+// Events of a run.
+const (
+	Appeared EventKind = iota // listed, but not launched by us
+	Started                   // runs now
+	Finished                  // ended, see Cause
+	Vanished                  // surely not there any more, without an end
+)
+
+// Report takes a worker's report; false if it is older than what is known.
+// posted tells a report that the worker sent by itself from one that answers
+// /orders: only the former is made after the last answer was taken or
+// dropped, so only the former disproves a launch in an answer.
+func (m *Machine) Report(r *wire.Report, now time.Duration, posted bool) ([]Event, bool) {
+	if !r.Newer(m.Session, m.Seq) {
+		return nil, false
+	}
+	m.Session, m.Seq = r.Session, r.Seq
+	m.Address, m.Type, m.Zone, m.Spot = r.Address, r.Type, r.Zone, r.Spot
+	m.LastHeard = now
+	m.Noticed = r.Notice != nil
+	if m.Noticed {
+		m.Notice = now + time.Duration(*r.Notice*float64(time.Second))
+	}
+	if m.doubt != 0 && r.Token > m.doubt {
+		// Orders with the old token can no longer be executed; if they were,
+		// this report shows it.
+		m.doubt = 0
+	}
+	if r.Token >= m.Base {
+		m.Resolved = true
+	}
+	var events []Event
+	listed := map[RunKey]bool{}
+	for i := range r.Tasks {
+		t := &r.Tasks[i]
+		task, ok := ParseTask(t.Task)
+		if !ok {
+			continue
+		}
+		key := RunKey{task, t.Try}
+		listed[key] = true
+		run := m.Runs[key]
+		if run == nil {
+			run = &Run{RunKey: key, Placed: now}
+			m.Runs[key] = run
+			run.State = t.State
+			run.Cause, run.Saved = t.Cause, t.Saved
+			if t.State == wire.Running {
+				run.Began = now
+			}
+			events = append(events, Event{run, Appeared})
+			continue
+		}
+		was := run.State
+		run.State, run.Cause, run.Saved = t.State, t.Cause, t.Saved
+		if was == wire.Ended {
+			continue
+		}
+		switch {
+		case t.State == wire.Ended:
+			events = append(events, Event{run, Finished})
+		case t.State == wire.Running && run.Began == 0:
+			run.Began = now
+			events = append(events, Event{run, Started})
+		}
+	}
+	for _, key := range m.Keys() {
+		run := m.Runs[key]
+		if listed[key] || !run.sent && run.State == "" {
+			continue
+		}
+		if run.reapSent && r.Newer(run.reapS, run.reapSeq) {
+			delete(m.Runs, key)
+			continue
+		}
+		if run.State == "" && r.Session == run.session && !m.disproves(r, run, posted) {
+			continue // the launch may be executed yet
+		}
+		if run.State == "" && !run.Halt && r.Session == run.session {
+			run.sent = false // the answer with the launch was dropped: say it again
+			continue
+		}
+		delete(m.Runs, key)
+		if !run.Over() {
+			events = append(events, Event{run, Vanished})
+		}
+	}
+	return events, true
+}
+
+// disproves tells whether a report that does not list run shows that its
+// launch was not, and can no longer be, executed.
+func (m *Machine) disproves(r *wire.Report, run *Run, posted bool) bool {
+	if run.direct {
+		return !m.ordered && m.doubt == 0
+	}
+	return posted && r.Newer(run.session, run.seq)
+}
+
+// Keys lists the runs in a fixed order.
+func (m *Machine) Keys() []RunKey {
+	keys := make([]RunKey, 0, len(m.Runs))
+	for k := range m.Runs {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		a, b := keys[i], keys[j]
+		if a.Job != b.Job {
+			return a.Job < b.Job
+		}
+		if a.Index != b.Index {
+			return a.Index < b.Index
+		}
+		return a.Try < b.Try
+	})
+	return keys
+}
+
+// maxOrders keeps an answer below the protocol's 64 KiB.
+const maxOrders = 400
+
+// Orders lists what the worker is to do now. They answer the newest report,
+// or are sent directly; either way the newest report is what a launch must
+// be outdated by.
+func (m *Machine) Orders(direct bool, now time.Duration) []wire.Command {
+	var halts, launches, reaps []wire.Command
+	for _, key := range m.Keys() {
+		run := m.Runs[key]
+		switch {
+		case run.Over():
+			// A delayed copy of the launch, executed after the reap, would
+			// start the task again.
+			if run.Reap && m.doubt == 0 && !m.ordered {
+				reaps = append(reaps, wire.Command{Verb: wire.Reap, Task: run.String(), Try: run.Try})
+				run.reapSent, run.reapS, run.reapSeq = true, m.Session, m.Seq
+			}
+		case run.Halt:
+			if run.MayBeThere() {
+				g := run.Grace
+				run.told = max(now, 1)
+				halts = append(halts, wire.Command{Verb: wire.Halt, Task: run.String(), Try: run.Try, Grace: &g})
+			}
+		case run.State == "" && !run.sent && !run.Hold && m.Resolved:
+			launches = append(launches, wire.Command{Verb: wire.Launch, Task: run.String(), Try: run.Try})
+			run.sent, run.direct, run.session, run.seq = true, direct, m.Session, m.Seq
+		}
+		if len(halts)+len(launches)+len(reaps) >= maxOrders {
+			break
+		}
+	}
+	return append(append(halts, reaps...), launches...)
+}
+
+// repeat spaces direct halts of a task that does not go.
+const repeat = time.Second
+
+// Pressing tells whether there is something to say that should not wait for
+// the next report.
+func (m *Machine) Pressing(now time.Duration) bool {
+	if m.ordered || m.Address == "" || now < m.pause {
+		return false
+	}
+	if !m.Resolved {
+		return true
+	}
+	for _, run := range m.Runs {
+		if run.Over() {
+			continue
+		}
+		if run.Halt && run.MayBeThere() && (run.told == 0 || run.State != wire.Flushing && now-run.told > repeat) || !run.Halt && run.State == "" && !run.Hold && !run.sent {
+			return true
+		}
+	}
+	return false
+}
+
+// Answered notes that a report is answered with 200 now.
+func (m *Machine) Answered(now time.Duration) {
+	if now > m.LastAnswer {
+		m.LastAnswer = now
+	}
+}
+
+// OrdersSent notes that direct orders are on their way.
+func (m *Machine) OrdersSent() { m.ordered = true }
+
+// Pause holds direct orders back for a while after they failed.
+func (m *Machine) Pause(until time.Duration) { m.pause = until }
+
+// Ordered tells whether direct orders are on their way.
+func (m *Machine) Ordered() bool { return m.ordered }
+
+// OrdersLost notes that direct orders with the given token got no answer:
+// they may be executed at any later time, until the worker has seen a higher
+// token, which it is therefore given.
+func (m *Machine) OrdersLost(token uint64) {
+	m.ordered = false
+	m.doubt = max(m.doubt, token)
+	m.Token = max(m.Token, token+1)
+}
+
+// OrdersAnswered notes that they were executed or refused.
+func (m *Machine) OrdersAnswered() { m.ordered = false }
+
+// LeaseOver tells whether everything that was on the machine is surely gone.
+func (m *Machine) LeaseOver(now, lease time.Duration, drift float64) bool {
+	return now > m.LastAnswer+time.Duration(float64(lease)*(1+3*drift))+lease/100
+}
+
+// Expire records that the lease is over: every run that may have been there
+// is gone, and later messages of that session count for nothing.
+func (m *Machine) Expire() []Event {
+	m.Resolved = true
+	m.doubt = 0
+	m.Seq = math.MaxUint64
+	var events []Event
+	for _, key := range m.Keys() {
+		run := m.Runs[key]
+		if !run.MayBeThere() && !run.Halt {
+			continue
+		}
+		delete(m.Runs, key)
+		if !run.Over() {
+			events = append(events, Event{run, Vanished})
+		}
+	}
+	return events
+}
+
+// Place adds a run that is to be launched.
+func (m *Machine) Place(t Task, try uint64, hold bool, now time.Duration) *Run {
+	run := &Run{RunKey: RunKey{t, try}, Hold: hold, Placed: now}
+	m.Runs[run.RunKey] = run
+	return run
+}
+
+// Stop asks for a run's end; true if it never was there and is dropped.
+func (m *Machine) Stop(run *Run, grace float64) bool {
+	if !run.MayBeThere() {
+		delete(m.Runs, run.RunKey)
+		return true
+	}
+	if !run.Halt || grace < run.Grace {
+		run.Halt, run.Grace, run.told = true, grace, 0
+	}
+	return false
+}
