--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -24,6 +24,8 @@
 	at               time.Duration // when the head is to start here
 	spareC, spareG   float64       // what the head leaves at that time
 	spareM           float64
+	// held by work of the lowest rank that loses nothing when it is stopped
+	softC, softG, softM float64
 }
 
 const eps = 1e-9
@@ -78,6 +80,11 @@
 			}
 			if w := p.Works[run.Job]; w != nil {
 				r.take(&w.Rec.Job)
+				if w.Rec.Job.Rank == 0 && w.Rec.Job.Mark > 0 {
+					r.softC += w.Rec.Job.Cores
+					r.softG += w.Rec.Job.GPUs
+					r.softM += w.Rec.Job.Memory
+				}
 			} else {
 				unknown = true // of a job that is over: it goes soon
 			}
@@ -312,7 +319,7 @@
 			if only != "" && r.m.Zone != only {
 				continue
 			}
-			for len(plan) < n && r.fits(j) && p.backfills(r, j, now) {
+			for len(plan) < n && r.fits(j) && p.backfills(r, j, now) && !p.kept(r, j) {
 				if j.Spread && count[r.m.Zone] >= (j.Tasks+1)/2 {
 					break
 				}
@@ -385,21 +392,40 @@
 	return world.Seconds(j.ImageGb / r.t.Fetch)
 }
 
-// kept: a machine that one of the large shapes seen lately would fill is not
-// cut up for small tasks that others can take as well.
+// kept: a machine on which one of the large shapes seen lately could start now
+// is not cut up for small tasks, but for what the large one would leave free,
+// and for work that it may stop without loss.
 func (p *Part) kept(r *room, j *wire.Job) bool {
 	if r.m.Spot {
 		return false
 	}
 	for _, s := range p.large {
 		l := &s.job
-		if 2*l.Cores > r.t.Cores && 2*j.Cores < l.Cores && l.Rank >= j.Rank && Allows(l, r.t, r.m.Zone, r.m.Spot) {
+		if 2*l.Cores <= r.t.Cores || 2*j.Cores >= l.Cores || l.Rank < j.Rank || !Allows(l, r.t, r.m.Zone, r.m.Spot) {
+			continue
+		}
+		if j.Rank < l.Rank && j.Mark > 0 {
+			continue
+		}
+		after := *r
+		after.take(j)
+		if !after.fits(l) && r.m.largeFits(l, r) {
 			return true
 		}
 	}
 	return false
 }
 
+// largeFits tells whether l could start now, or could once what it may stop
+// without loss is stopped.
+func (m *Machine) largeFits(l *wire.Job, r *room) bool {
+	free := *r
+	free.cores += r.softC
+	free.gpus += r.softG
+	free.mem += r.softM
+	return free.fits(l)
+}
+
 // cost orders the machines for a task, in seconds: the fetch it would wait
 // for, and small leanings to spot machines, to small ones and to ones that
 // are in use already.
@@ -679,10 +705,11 @@
 		return int(min(k, float64(n)))
 	}
 	for _, f := range o.Free {
-		if p.kept(&room{m: &Machine{Machine: &worker.Machine{Zone: f.Zone, Spot: f.Spot}}, t: p.h.TypeOf(f.Type)}, j) {
+		k := count(f)
+		if k == 0 || p.kept(&room{m: &Machine{Machine: &worker.Machine{Zone: f.Zone, Spot: f.Spot}}, t: p.h.TypeOf(f.Type),
+			cores: f.Cores, gpus: f.Gpus, mem: f.MemoryGb}, j) {
 			continue
 		}
-		k := count(f)
 		fit += k
 		zone[f.Zone] += k
 	}
