--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -290,6 +290,7 @@
 			add(option{u.req.Type, u.req.Zone, u.req.Spot})
 		}
 	}
+	all := f.demand(known, gaps)
 	want := map[option]int{}
 	var order []option
 	for _, g := range gaps {
@@ -303,7 +304,7 @@
 			}
 		}
 		for n > 0 {
-			o, ok := f.cheapest(g, n, known, now)
+			o, ok := f.cheapest(g, n, all, now)
 			if !ok {
 				break
 			}
@@ -332,8 +333,9 @@
 }
 
 // cheapest finds what to rent for up to n tasks of a job: the least money for
-// the time until they are done, boot time included.
-func (f *Fleet) cheapest(g Gap, n int, known []Known, now time.Duration) (option, bool) {
+// a task until it is done, boot time included; a boot counts twice, since the
+// job waits for it as well.
+func (f *Fleet) cheapest(g Gap, n int, all demand, now time.Duration) (option, bool) {
 	var best option
 	cost := math.Inf(1)
 	names := make([]string, 0, len(f.types))
@@ -352,16 +354,16 @@
 				price := t.Price
 				if spot {
 					price = t.Spot
-				} else if g.Job.Spot && !f.worth(g, known) {
+				} else if g.Job.Spot && !all.worth(g, t) {
 					continue
 				}
-				k := min(fit(t, g.Job), n)
-				if k == 0 {
+				full := fit(t, g.Job)
+				if full == 0 {
 					continue
 				}
-				// A machine that is not filled is partly there for the next job.
-				share := 0.5 + 0.5*float64(k)/float64(fit(t, g.Job))
-				c := price * share * (t.Boot + max(g.Job.Estimate, 30)) / float64(k)
+				// What this job leaves free is there for the others that wait.
+				used := min(1, max(float64(min(full, n))/float64(full), all.cores/max(t.Cores, 1)))
+				c := price / used / float64(full) * (2*t.Boot + max(g.Job.Estimate, 1))
 				if c < cost {
 					best, cost = o, c
 				}
@@ -371,21 +373,44 @@
 	return best, !math.IsInf(cost, 1)
 }
 
-// worth: an ordinary machine for a job that a spot machine would do needs a
-// queue that what is there does not clear soon.
-func (f *Fleet) worth(g Gap, known []Known) bool {
-	var cores float64
+// demand is what waits in all, against what could take it.
+type demand struct {
+	cores    float64 // that waiting tasks of spot jobs take
+	work     float64 // the same times their run time
+	capacity float64 // cores of machines, there or booting, that spot jobs use
+}
+
+func (f *Fleet) demand(known []Known, gaps []Gap) demand {
+	var d demand
+	for _, g := range gaps {
+		if !g.Job.Spot {
+			continue
+		}
+		c := float64(g.Tasks) * max(g.Job.Cores, g.Job.GPUs)
+		d.cores += c
+		d.work += c * max(g.Job.Estimate, 1)
+	}
 	for _, k := range known {
-		if t := f.types[k.Rec.Type]; k.Rec.Retire == "" && part.Allows(g.Job, t, k.Rec.Zone, k.Rec.Spot) {
-			cores += t.Cores
+		if t := f.types[k.Rec.Type]; t != nil && k.Rec.Retire == "" {
+			d.capacity += t.Cores
+		}
+	}
+	for _, b := range f.booting {
+		if t := f.types[b.typ]; t != nil {
+			d.capacity += t.Cores
 		}
 	}
-	if cores == 0 {
+	return d
+}
+
+// worth: an ordinary machine for a job that a spot machine would do needs a
+// queue that what is there does not clear in the time it takes to boot one
+// and run a task.
+func (d demand) worth(g Gap, t *wire.MachineType) bool {
+	if d.capacity <= 0 {
 		return true
 	}
-	j := g.Job
-	wait := float64(g.Tasks) * max(j.Cores, 0.01) * max(j.Estimate, 1) / cores
-	return g.Waited+wait > 0.5*max(j.Estimate, 1)
+	return d.work/d.capacity > t.Boot+g.Job.Estimate/2
 }
 
 func (f *Fleet) ask(req wire.Rental, at time.Duration) {
