--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -82,6 +82,14 @@
 // Gone tells whether the machine was deleted for certain.
 func (f *Fleet) Gone(id string) bool { _, ok := f.deleted[id]; return ok }
 
+// Rented tells whether the machine is known to have been rented, by this
+// leader or, from the list while it booted, by an earlier one; or may have
+// been, by a rental whose answer is missing.
+func (f *Fleet) Rented(id string) bool {
+	_, ok := f.booting[id]
+	return ok || f.n > 0 || len(f.unsure) > 0
+}
+
 func (f *Fleet) spend() bool {
 	now := f.w.Now()
 	rate := f.s.Deployment.Cloud.RPS / 2
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -855,7 +855,7 @@
 	}
 	n.recording[r.Machine] = true
 	key := part.MachineKey(r.Machine)
-	rec := part.MachineRecord{Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot}
+	rec := part.MachineRecord{Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Own: !n.fleet.Rented(r.Machine)}
 	n.l.Write(ledger.Urgent, &ledger.Write{
 		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
 			if n.machines[r.Machine] != nil {
--- a/internal/part/job.go
+++ b/internal/part/job.go
@@ -33,6 +33,7 @@
 	Type    string   `cbor:"t"`
 	Zone    string   `cbor:"z"`
 	Spot    bool     `cbor:"s"`
+	Own     bool     `cbor:"o"` // was there before any rental of ours
 	Jobs    []string `cbor:"j"` // jobs that may be on it
 	Retire  string   `cbor:"x"` // why it is to be returned; "": it is not
 }
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -697,15 +697,17 @@
 	if t == nil {
 		return false
 	}
-	keep := world.Seconds(max(t.Boot*p.h.Settings().Rent.IdleBoots, minBilled))
-	if m.Spot {
-		keep = world.Seconds(max(t.Boot, minBilled/2))
+	// Keeping a machine for as long as a new one takes to boot costs what the
+	// boot of a new one would: waiting longer than that on luck costs more.
+	keep := world.Seconds(t.Boot * p.h.Settings().Rent.IdleBoots)
+	if m.rec.Own {
+		keep = world.Seconds(t.Boot * p.h.Settings().Rent.OwnIdleBoots)
 	}
 	for _, s := range p.large {
 		// Few machines take such jobs: one that does is kept as long as the
 		// next may be expected.
-		if now-s.seen < 4*keep && p.allowed(m, &s.job) {
-			keep *= 2
+		if 2*s.job.Cores > t.Cores && now-s.seen < 10*keep && p.allowed(m, &s.job) {
+			keep *= 6
 			break
 		}
 	}
@@ -720,9 +722,6 @@
 	return true
 }
 
-// minBilled is the least time the cloud charges (PROTOCOL, price).
-const minBilled = 60.0
-
 // estimate is the expected run time of a task, corrected by what its class
 // showed.
 func (p *Part) estimate(j *wire.Job) time.Duration {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,9 +120,9 @@
 
 // RentSettings are the purse's.
 type RentSettings struct {
-	IdleBoots float64 `ini:"idle_boots"` // idle time kept, in boot times
-	LateBoots float64 `ini:"late_boots"` // boot times until one is given up
-	WaitBoots float64 `ini:"wait_boots"` // queue worth renting for, in boot times
+	IdleBoots    float64 `ini:"idle_boots"`     // idle time kept, in boot times
+	OwnIdleBoots float64 `ini:"own_idle_boots"` // the same for machines there at the start
+	LateBoots    float64 `ini:"late_boots"`     // boot times until one is given up
 }
 
 // GrantSettings set how long ownership lasts, as shares of lease_s.
@@ -138,7 +138,7 @@
 		Rank:     RankSettings{Max: 8, Window: 100},
 		Score:    ScoreSettings{Aging: 1, Short: 10, DeadlineMin: 0, DeadlineMax: 200, K: 2, Priority: 1000},
 		Dispatch: DispatchSettings{ChunksPerPart: 1, ChunkMin: 4},
-		Rent:     RentSettings{IdleBoots: 2, LateBoots: 5, WaitBoots: 0},
+		Rent:     RentSettings{IdleBoots: 1.5, OwnIdleBoots: 10, LateBoots: 5},
 		Grants:   GrantSettings{Life: 1, Renew: 0.08, Absent: 0.35},
 	}
 }
@@ -235,7 +235,7 @@
 		{"[dispatch] chunk_min", float64(o.Dispatch.ChunkMin), 1, 100000},
 		{"[rent] idle_boots", o.Rent.IdleBoots, 0, 1000},
 		{"[rent] late_boots", o.Rent.LateBoots, 1.5, 1000},
-		{"[rent] wait_boots", o.Rent.WaitBoots, 0, 1000},
+		{"[rent] own_idle_boots", o.Rent.OwnIdleBoots, 0, 10000},
 		{"[grants] life", o.Grants.Life, 0.2, 1},
 		{"[grants] renew", o.Grants.Renew, 0.01, 0.3},
 		{"[grants] absent", o.Grants.Absent, 0.05, 1},
