A part's pending writes die with its tenure; nothing starts before a proven cache

A closed tenure's queued machine record passed the guard of the controller's next tenure and dropped a job that was on the machine; the next owner did not wait for that machine. Excluded: late launches (tokens), early lease ends (times do not fit), stale cache at release (the claim is conditional on the deletion).

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -100,6 +100,9 @@
 // what is done on the strength of it also needs a valid grant.
 func (b *Book) Holds(key string) bool { _, ok := b.held[key]; return ok }
 
+// Token is the token drawn when the key was taken; 0 if it is not held.
+func (b *Book) Token(key string) uint64 { return b.held[key].token }
+
 // Guard is the condition that makes a write fail once the key has changed
 // hands.
 func (b *Book) Guard(key string) wire.Cond {
@@ -117,6 +120,9 @@
 	}
 }
 
+// Forget empties the list of owners, to be told anew.
+func (b *Book) Forget() { b.owners = map[string]Owner{} }
+
 // Stale tells whether the key is held by this controller's name, but from
 // before its restart.
 func (b *Book) Stale(key string) bool {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"log/slog"
 	"net/url"
+	"sort"
 	"strings"
 	"time"
 
@@ -63,6 +64,8 @@
 	nonces   int
 
 	Grant Grant
+	// Reset is told that all that Change told before is void.
+	Reset func()
 }
 
 // Write is one atomic group of changes. Its conditions are worked out when it
@@ -158,8 +161,13 @@
 		}
 		l.absorb(out)
 		l.loaded, l.seenOK = true, sent
-		for k, e := range l.cache {
-			l.change(k, e.Value)
+		keys := make([]string, 0, len(l.cache))
+		for k := range l.cache {
+			keys = append(keys, k)
+		}
+		sort.Strings(keys)
+		for _, k := range keys {
+			l.change(k, l.cache[k].Value)
 		}
 		l.change("", nil)
 		l.watch()
@@ -206,16 +214,14 @@
 	}
 }
 
-// reload throws the cache away: the service no longer keeps the changes.
+// reload throws the cache away: the service no longer keeps the changes. What
+// was deleted meanwhile is not known, so the owner starts from nothing.
 func (l *Ledger) reload() {
 	if !l.loaded {
 		return
 	}
-	old := l.cache
 	l.loaded = false
-	for k := range old {
-		l.change(k, nil)
-	}
+	l.Reset()
 	l.load("", true)
 }
 
@@ -595,6 +601,19 @@
 		return
 	}
 	w := b.writes[0]
-	l.Prove(func(bool) { w.Done(false, 0) })
+	l.tell(w)
 	l.pump()
 }
+
+// tell says that w was not applied, but not before the cache shows why: an
+// owner that goes on with what it knew before could act on what is no longer
+// its own.
+func (l *Ledger) tell(w *Write) {
+	l.Prove(func(ok bool) {
+		if !ok {
+			l.w.After(l.retry(), func() { l.tell(w) })
+			return
+		}
+		w.Done(false, 0)
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 		ValueKB: d.State.ValueKB, TxnOps: d.State.TxnOps, Members: len(n.names)}, n.changed)
 	n.book = lead.New(s.Name, n.l, w.Now)
 	n.book.Taken, n.book.Lost = n.taken, n.lost
+	n.l.Reset = n.reset
 	n.intake = intake.New(n, w)
 	n.resetSlots()
 	return n
@@ -255,6 +256,14 @@
 	}
 }
 
+// reset: the cache is void. Parts are given up rather than told that their
+// jobs and machines are gone, which only a deletion says.
+func (n *Node) reset() {
+	n.book.DropAll()
+	n.book.Forget()
+	n.jobs, n.progress, n.machines = map[string]*part.JobRecord{}, map[string]map[int]*part.Progress{}, map[string]*part.MachineRecord{}
+}
+
 func (n *Node) feedProgress(p *part.Part, id string) {
 	for _, pr := range n.progress[id] {
 		p.OnProgress(id, pr)
@@ -303,10 +312,30 @@
 		p.Renew(token)
 		return
 	}
+	// The cache may be older than the claim: the last writes of the owner
+	// before, such as which job may be on which machine, must be in it before
+	// anything is started. No write of his can follow the claim.
 	bound := n.w.Now()
 	if forced { // it may go on answering until its grant would have lapsed
 		bound += n.grantLife()
 	}
+	n.settle(k, key, token, bound)
+}
+
+func (n *Node) settle(k int, key string, token uint64, bound time.Duration) {
+	n.l.Prove(func(ok bool) {
+		if !n.book.Holds(key) || n.book.Token(key) < token || n.parts[k] != nil {
+			return
+		}
+		if !ok {
+			n.w.After(n.heartbeat(), func() { n.settle(k, key, token, bound) })
+			return
+		}
+		n.open(k, key, n.book.Token(key), bound)
+	})
+}
+
+func (n *Node) open(k int, key string, token uint64, bound time.Duration) {
 	p := part.New(k, token, n, func() wire.Cond { return n.book.Guard(key) }, bound)
 	n.parts[k] = p
 	for _, id := range sortedKeys(n.machines) {
@@ -335,7 +364,10 @@
 		return
 	}
 	if k, err := strconv.Atoi(strings.TrimPrefix(key, "a/o/")); err == nil {
-		delete(n.parts, k)
+		if p := n.parts[k]; p != nil {
+			p.Close()
+			delete(n.parts, k)
+		}
 	}
 }
 
@@ -528,9 +560,6 @@
 		st.Parts = append(st.Parts, ps)
 		st.Gaps = append(st.Gaps, gaps...)
 	})
-	for name := range n.peers {
-		n.w.Send(name, &mesh.Envelope{Body: &mesh.Envelope_Status{Status: st}})
-	}
 	n.learnSlots(st)
 	if n.leads() {
 		n.assign()
@@ -538,6 +567,9 @@
 		n.rent(now, st)
 	}
 	n.moves(st)
+	for name := range n.peers { // last: moves take from the free room
+		n.w.Send(name, &mesh.Envelope{Body: &mesh.Envelope_Status{Status: st}})
+	}
 	n.w.After(n.heartbeat(), n.beat)
 }
 
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -53,11 +53,12 @@
 	Machines map[string]*Machine
 	Works    map[string]*Work
 
-	h     Host
-	guard func() wire.Cond
-	bound time.Duration // latest moment at which an earlier owner could answer
-	tries uint64
-	dirty bool
+	h      Host
+	guard  func() wire.Cond
+	closed bool
+	bound  time.Duration // latest moment at which an earlier owner could answer
+	tries  uint64
+	dirty  bool
 
 	headWaits bool
 	large     map[string]largeShape // shapes that fill most of a machine
@@ -74,8 +75,28 @@
 // New takes a part over. bound is the latest moment at which an earlier owner
 // may have renewed a worker's lease.
 func New(k int, token uint64, h Host, guard func() wire.Cond, bound time.Duration) *Part {
-	return &Part{K: k, Token: token, Machines: map[string]*Machine{}, Works: map[string]*Work{}, h: h,
-		guard: guard, bound: bound, dirty: true, large: map[string]largeShape{}, corr: map[string]float64{}}
+	p := &Part{K: k, Token: token, Machines: map[string]*Machine{}, Works: map[string]*Work{}, h: h,
+		bound: bound, dirty: true, large: map[string]largeShape{}, corr: map[string]float64{}}
+	p.guard = func() wire.Cond {
+		if p.closed {
+			return wire.Cond{Key: guard().Key, Stamp: never}
+		}
+		return guard()
+	}
+	return p
+}
+
+// never is a stamp that no key has.
+const never = 1<<63 - 1
+
+// Close ends this tenure. What it still has waiting to be written must never
+// be: if the same controller takes the part again, the new tenure's guard
+// would let a record through that knows nothing of what ran meanwhile. (Seen
+// on a simulated day: a machine's record lost a job that was on it, and the
+// next owner started its tasks elsewhere.)
+func (p *Part) Close() {
+	p.closed = true
+	p.Works, p.Machines = map[string]*Work{}, map[string]*Machine{}
 }
 
 // ProgressKey is where this part's progress of a job is kept.
