Stand-ins in simulated time with kept traces; machines lent to gangs larger than a part

Found by the stand-ins: a deletion event that holds a null was taken for a put; two dead machines of one part were never deleted; a gang of two starved while single machines were rented and returned.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -42,6 +42,7 @@
 	deleted map[string]time.Duration
 	unsure  []*unsure // rentals without answer: asked again under their name
 	refused map[option]refusal
+	seen    map[string]time.Duration // machines: when last listed
 
 	budget   float64
 	budgetAt time.Duration
@@ -75,12 +76,12 @@
 // New makes the fleet of a leader; token makes its request names unique.
 func New(w world.World, s *settings.Settings, token uint64) *Fleet {
 	return &Fleet{w: w, s: s, addr: s.Services.Cloud, name: fmt.Sprintf("r-%s-%d", s.Name, token),
-		booting: map[string]booting{}, deleted: map[string]time.Duration{}, refused: map[option]refusal{},
+		booting: map[string]booting{}, deleted: map[string]time.Duration{}, refused: map[option]refusal{}, seen: map[string]time.Duration{},
 		budget: s.Deployment.Cloud.RPS, listAt: -time.Hour}
 }
 
 // Gone tells whether the machine was deleted for certain.
-func (f *Fleet) Gone(id string) bool { _, ok := f.deleted[id]; return ok }
+func (f *Fleet) Gone(id string) bool { return f.deleted[id] != 0 }
 
 // Rented tells whether the machine is known to have been rented, by this
 // leader or, from the list while it booted, by an earlier one; or may have
@@ -217,6 +218,24 @@
 			}
 		}
 	}
+	// A machine that was listed and no longer is may be gone without a word.
+	// Deleting it proves it. A list may be older than the one before.
+	here := map[string]bool{}
+	for _, m := range f.page {
+		here[m.ID] = true
+		f.seen[m.ID] = now
+	}
+	wait := world.Seconds(max(3*f.s.Deployment.Cloud.ListLag, f.s.Deployment.Workers.Lease/2))
+	for id, at := range f.seen {
+		_, gone := f.deleted[id]
+		switch {
+		case records[id] == nil && !here[id]:
+			delete(f.seen, id)
+		case !here[id] && !gone && now-at > wait:
+			slog.Info("fleet: no longer listed", "machine", id)
+			f.deleted[id] = 0
+		}
+	}
 	for id, at := range f.deleted {
 		if at != 0 && now-at > 10*time.Minute {
 			delete(f.deleted, id)
@@ -226,21 +245,6 @@
 
 // --- rentals ---
 
-// fit is the number of tasks that a machine of type t holds.
-func fit(t *wire.MachineType, j *wire.Job) int {
-	k := float64(math.MaxInt32)
-	if j.Cores > 0 {
-		k = min(k, math.Floor(t.Cores/j.Cores+1e-9))
-	}
-	if j.GPUs > 0 {
-		k = min(k, math.Floor(t.GPUs/j.GPUs+1e-9))
-	}
-	if j.Memory > 0 {
-		k = min(k, math.Floor(t.Memory/j.Memory+1e-9))
-	}
-	return int(k)
-}
-
 type bin struct {
 	option
 	t                *wire.MachineType
@@ -365,7 +369,7 @@
 				} else if g.Job.Spot && !all.worth(g, t) {
 					continue
 				}
-				full := fit(t, g.Job)
+				full := t.Fits(g.Job, math.MaxInt32)
 				if full == 0 {
 					continue
 				}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"sort"
 	"strconv"
 	"strings"
 	"time"
@@ -115,7 +116,12 @@
 
 // DropAll forgets everything held: the grant is over.
 func (b *Book) DropAll() {
+	keys := make([]string, 0, len(b.held))
 	for key := range b.held {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	for _, key := range keys {
 		b.lose(key, "the grant is over")
 	}
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -194,13 +194,15 @@
 		if l.gone[key] >= e.Stamp {
 			continue
 		}
+		var value []byte // of a deletion none, even if the event holds a null
 		if e.Put != "" {
+			value = e.Value
 			l.cache[key] = Entry{Value: e.Value, Stamp: e.Stamp}
 		} else {
 			delete(l.cache, key)
 		}
 		if l.loaded {
-			l.change(key, e.Value)
+			l.change(key, value)
 		}
 	}
 	l.rev = c.Ledger
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,6 +48,8 @@
 	ranker    *dispatch.Ranker
 	fleet     *fleet.Fleet
 	slots     []dispatch.Slots
+	short     []*mesh.Gap // gangs that are larger than their part
+	status    *mesh.Status
 	recording map[string]bool
 	placing   map[string]bool
 	released  time.Duration
@@ -265,8 +267,10 @@
 }
 
 func (n *Node) feedProgress(p *part.Part, id string) {
-	for _, pr := range n.progress[id] {
-		p.OnProgress(id, pr)
+	for k := range n.names {
+		if pr := n.progress[id][k]; pr != nil {
+			p.OnProgress(id, pr)
+		}
 	}
 }
 
@@ -526,8 +530,8 @@
 
 // clean deletes progress of jobs that are over.
 func (n *Node) clean(p *part.Part) {
-	for id, m := range n.progress {
-		if n.jobs[id] != nil || m[p.K] == nil || len(n.cleaning) >= 8 {
+	for _, id := range sortedKeys(n.progress) {
+		if n.jobs[id] != nil || n.progress[id][p.K] == nil || len(n.cleaning) >= 8 {
 			continue
 		}
 		key := part.ProgressKey(id, p.K)
@@ -561,13 +565,15 @@
 		st.Gaps = append(st.Gaps, gaps...)
 	})
 	n.learnSlots(st)
+	n.status = st
 	if n.leads() {
 		n.assign()
 		n.place()
 		n.rent(now, st)
+		n.lend(st)
 	}
 	n.moves(st)
-	for name := range n.peers { // last: moves take from the free room
+	for _, name := range sortedKeys(n.peers) { // last: moves take from the free room
 		n.w.Send(name, &mesh.Envelope{Body: &mesh.Envelope_Status{Status: st}})
 	}
 	n.w.After(n.heartbeat(), n.beat)
@@ -583,6 +589,91 @@
 	return out
 }
 
+// Wanted: some queued work, of whatever part, could run on the machine.
+func (n *Node) Wanted(m *part.Machine) bool {
+	for _, s := range append(n.fresh(), n.status) {
+		if s == nil {
+			continue
+		}
+		for _, g := range s.Gaps {
+			if rec := n.jobs[g.Job]; rec != nil && part.Allows(&rec.Job, n.types[m.Type], m.Zone, m.Spot) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// lend finds machines in other parts for gangs that their own part is too
+// small for: such a gang is in effect the head of all parts.
+func (n *Node) lend(own *mesh.Status) {
+	statuses := append(n.fresh(), own)
+	n.short = nil
+	for _, s := range statuses {
+		for _, g := range s.Gaps {
+			rec := n.jobs[g.Job]
+			if g.Short <= 0 || rec == nil {
+				continue
+			}
+			n.short = append(n.short, g)
+			n.lendFor(&rec.Job, g, statuses)
+		}
+	}
+}
+
+func (n *Node) lendFor(j *wire.Job, g *mesh.Gap, statuses []*mesh.Status) {
+	if t := n.s.Team(j.Team); t == nil || int(g.Part) >= len(n.names) {
+		return
+	}
+	// The zone with the most machines to come from, for a job in one zone.
+	zone, most := "", 0
+	if j.OneZone {
+		count := map[string]int{}
+		for _, id := range sortedKeys(n.machines) {
+			if m := n.machines[id]; m.Retire == "" && part.Allows(j, n.types[m.Type], m.Zone, m.Spot) {
+				count[m.Zone] += n.types[m.Type].Fits(j, j.Tasks)
+			}
+		}
+		for _, z := range sortedKeys(count) {
+			if count[z] > most {
+				zone, most = z, count[z]
+			}
+		}
+	}
+	left := int(g.Short)
+	ask := func(empty bool) {
+		for _, s := range statuses {
+			for _, p := range s.Parts {
+				for _, r := range p.Free {
+					if left <= 0 || p.Part == g.Part || r.Empty != empty || zone != "" && r.Zone != zone ||
+						!part.Allows(j, n.types[r.Type], r.Zone, r.Spot) {
+						continue
+					}
+					left -= n.types[r.Type].Fits(j, j.Tasks)
+					l := &mesh.Lend{Machine: r.Machine, To: g.Part}
+					if o := n.book.Owner(lead.PartKey(int(p.Part))); o == n.s.Name {
+						n.lendOut(l)
+					} else {
+						n.w.Send(o, &mesh.Envelope{Body: &mesh.Envelope_Lend{Lend: l}})
+					}
+				}
+			}
+		}
+	}
+	ask(true)
+	ask(false)
+}
+
+func (n *Node) lendOut(l *mesh.Lend) {
+	rec := n.machines[l.Machine]
+	if rec == nil || int(l.To) < 0 || int(l.To) >= len(n.names) {
+		return
+	}
+	if p := n.owns(rec.Part); p != nil {
+		p.Lend(l.Machine, int(l.To))
+	}
+}
+
 func (n *Node) moves(own *mesh.Status) {
 	var all []*mesh.PartStatus
 	for _, s := range append(n.fresh(), own) {
@@ -756,7 +847,7 @@
 
 // News hurries the others' caches.
 func (n *Node) News(id string) {
-	for name := range n.peers {
+	for _, name := range sortedKeys(n.peers) {
 		n.w.Send(name, &mesh.Envelope{Body: &mesh.Envelope_News{News: &mesh.News{Job: id}}})
 	}
 }
@@ -806,6 +897,10 @@
 		if n.book.Owner(lead.Leader) == e.From {
 			n.book.Release(lead.PartKey(int(b.Release.Part)))
 		}
+	case *mesh.Envelope_Lend:
+		if n.book.Owner(lead.Leader) == e.From {
+			n.lendOut(b.Lend)
+		}
 	case *mesh.Envelope_News:
 		n.l.Refresh()
 	}
@@ -927,6 +1022,11 @@
 			shares[m.Part].cores += t.Cores
 		}
 	}
+	for _, g := range n.short {
+		if j := n.jobs[g.Job]; j != nil && part.Allows(&j.Job, n.types[rec.Type], rec.Zone, rec.Spot) {
+			return int(g.Part)
+		}
+	}
 	best := 0
 	for k, s := range shares {
 		b := shares[best]
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -26,6 +26,8 @@
 	Order(p *Part, m *Machine)
 	// MayLaunch: the grant holds and the cache is recent.
 	MayLaunch() bool
+	// Wanted: work that waits anywhere could run on the machine.
+	Wanted(m *Machine) bool
 	// TeamDemand is the cores and GPUs of a team's unfinished jobs.
 	TeamDemand(team string) (cores, gpus float64)
 }
@@ -38,6 +40,8 @@
 	writing  bool
 	retiring string
 	idleAt   time.Duration // when it last became empty
+	lent     time.Duration // being emptied for another part until then
+	lending  bool
 	fullTo   time.Duration // refused a start: nothing more before
 	strikes  map[string]bool
 	images   map[string]bool
@@ -107,6 +111,9 @@
 	p.Token = token
 	for _, m := range p.Machines {
 		m.Token = max(m.Token, token)
+		if !m.Resolved { // only what is made under the new token proves anything
+			m.Base = token
+		}
 	}
 }
 
@@ -552,7 +559,7 @@
 // record writes the machine's record: the jobs that may be on it, and
 // whether it is to be returned.
 func (p *Part) record(m *Machine) {
-	if m.writing {
+	if m.writing || m.lending {
 		return
 	}
 	m.writing = true
@@ -641,7 +648,7 @@
 			return
 		}
 	}
-	if now-m.LastHeard > lease/2 && p.alone(m, now) {
+	if now-m.LastHeard > lease/2 && p.alone(m, now) || now-m.LastHeard > 3*lease {
 		p.retire(m, "silent")
 		return
 	}
@@ -735,12 +742,7 @@
 	if now-m.idleAt < keep {
 		return false
 	}
-	for _, w := range p.Works {
-		if w.idle > 0 && p.allowed(m, &w.Rec.Job) {
-			return false
-		}
-	}
-	return true
+	return !p.h.Wanted(m)
 }
 
 // estimate is the expected run time of a task, corrected by what its class
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -61,7 +61,7 @@
 
 // usable tells whether a machine may get more to do.
 func (p *Part) usable(m *Machine, now time.Duration) bool {
-	return m.Resolved && m.Session > 0 && m.retiring == "" && !m.Noticed && now >= m.fullTo &&
+	return m.Resolved && m.Session > 0 && !m.lending && now >= m.lent && m.retiring == "" && !m.Noticed && now >= m.fullTo &&
 		now-m.LastHeard < 3*p.report()
 }
 
@@ -624,7 +624,8 @@
 		}
 		s.Add(min(w.Rec.Rank, top), dispatch.Work(&w.Rec.Job, w.idle))
 		if now >= w.notTo && len(gaps) < 64 && !w.broken && !w.halting {
-			gaps = append(gaps, &mesh.Gap{Job: w.Rec.Job.ID, Tasks: int32(w.idle), WaitedS: (now - w.queuedAt).Seconds()})
+			gaps = append(gaps, &mesh.Gap{Job: w.Rec.Job.ID, Tasks: int32(w.idle), WaitedS: (now - w.queuedAt).Seconds(),
+				Part: int32(p.K), Short: int32(p.short(w, now))})
 		}
 	}
 	out := &mesh.PartStatus{Part: int32(p.K), Load: s.Load, HeadWaits: p.headWaits}
@@ -635,11 +636,71 @@
 		if r.cores <= 0 || len(out.Free) >= 32 {
 			continue
 		}
-		out.Free = append(out.Free, &mesh.Room{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot, Cores: r.cores, Gpus: r.gpus, MemoryGb: r.mem})
+		out.Free = append(out.Free, &mesh.Room{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot, Cores: r.cores, Gpus: r.gpus, MemoryGb: r.mem,
+			Machine: r.m.ID, Empty: len(r.m.Runs) == 0})
 	}
 	return out, gaps
 }
 
+// short counts the tasks of a gang for which the part's machines, were they
+// empty, have no room: the leader has machines lent to the part.
+func (p *Part) short(w *Work, now time.Duration) int {
+	if !w.gang() {
+		return 0
+	}
+	j := &w.Rec.Job
+	zone := map[string]int{}
+	all := 0
+	for _, m := range p.machines() {
+		t := p.h.TypeOf(m.Type)
+		if !p.allowed(m, j) || m.retiring != "" || now-m.LastHeard > 3*p.report() || m.lent > now {
+			continue
+		}
+		k := t.Fits(j, j.Tasks)
+		zone[m.Zone] += k
+		all += k
+	}
+	if j.OneZone {
+		all = 0
+		for _, k := range zone {
+			all = max(all, k)
+		}
+	}
+	return max(0, j.Tasks-all)
+}
+
+// Lend hands a machine over as soon as nothing is, or may be, on it.
+func (p *Part) Lend(id string, to int) {
+	now := p.h.Now()
+	m := p.Machines[id]
+	if m == nil || to == p.K || m.retiring != "" {
+		return
+	}
+	m.lent = now + p.report() // nothing new; the leader asks again
+	if len(m.Runs) > 0 || !m.Resolved || m.Doubtful() || m.writing || m.lending {
+		return
+	}
+	m.lending = true
+	key := MachineKey(id)
+	l := p.h.Ledger()
+	l.Write(ledger.Soon, &ledger.Write{
+		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
+			if p.Machines[id] != m || len(m.Runs) > 0 || m.Doubtful() || m.writing {
+				return nil, nil
+			}
+			rec := m.rec
+			rec.W, rec.Part, rec.Jobs = nonce, to, nil
+			return []wire.Cond{p.guard(), l.Stamp(key)}, []wire.Op{{Put: key, Value: wire.Encode(&rec)}}
+		},
+		Done: func(ok bool, _ uint64) {
+			m.lending = false
+			if ok {
+				slog.Info("part: machine lent", "machine", id, "from", p.K, "to", to)
+			}
+		},
+	})
+}
+
 // Move hands a queued chunk to a part that has free room for it now; others
 // are the parts' latest statuses. At most one move is under way.
 func (p *Part) Move(others []*mesh.PartStatus) {
@@ -692,17 +753,7 @@
 		if !Allows(j, p.h.TypeOf(f.Type), f.Zone, f.Spot) {
 			return 0
 		}
-		k := math.Inf(1)
-		if j.Cores > 0 {
-			k = min(k, math.Floor(f.Cores/j.Cores+eps))
-		}
-		if j.GPUs > 0 {
-			k = min(k, math.Floor(f.Gpus/j.GPUs+eps))
-		}
-		if j.Memory > 0 {
-			k = min(k, math.Floor(f.MemoryGb/j.Memory+eps))
-		}
-		return int(min(k, float64(n)))
+		return (&wire.MachineType{Cores: f.Cores, GPUs: f.Gpus, Memory: f.MemoryGb}).Fits(j, n)
 	}
 	for _, f := range o.Free {
 		k := count(f)
--- /dev/null
+++ b/internal/part/tenure_test.go
@@ -0,0 +1,108 @@
+package part
+
+import (
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"curlewspool/internal/ledger"
+	"curlewspool/internal/mesh"
+	"curlewspool/internal/settings"
+	"curlewspool/internal/wire"
+)
+
+// still is a world in which nothing is answered: it only notes what is sent.
+type still struct {
+	later []func()
+	sent  []wire.Txn
+}
+
+func (w *still) Now() time.Duration              { return time.Minute }
+func (w *still) Wall() time.Time                 { return time.Unix(1_700_000_000, 0) }
+func (w *still) Rand() *rand.Rand                { return rand.New(rand.NewPCG(1, 2)) }
+func (w *still) After(d time.Duration, f func()) { w.later = append(w.later, f) }
+func (w *still) Send(string, *mesh.Envelope)     {}
+func (w *still) Call(_, _, path string, in, _ any, _ time.Duration, _ func(int)) {
+	if t, ok := in.(*wire.Txn); ok && path == "/multi" {
+		w.sent = append(w.sent, *t)
+	}
+}
+
+func (w *still) settle() {
+	for len(w.later) > 0 {
+		f := w.later[0]
+		w.later = w.later[1:]
+		f()
+	}
+}
+
+type host struct {
+	w *still
+	l *ledger.Ledger
+	s *settings.Settings
+}
+
+func (h *host) Now() time.Duration           { return h.w.Now() }
+func (h *host) Wall() float64                { return 1_700_000_000 }
+func (h *host) Ledger() *ledger.Ledger       { return h.l }
+func (h *host) Settings() *settings.Settings { return h.s }
+func (h *host) TypeOf(string) *wire.MachineType {
+	return &wire.MachineType{Name: "small", Cores: 4, Memory: 16, Boot: 10}
+}
+func (h *host) Order(*Part, *Machine)                {}
+func (h *host) MayLaunch() bool                      { return true }
+func (h *host) Wanted(*Machine) bool                 { return true }
+func (h *host) TeamDemand(string) (float64, float64) { return 0, 0 }
+
+// queued makes a part with one machine and a job whose start waits for the
+// machine's record.
+func queued(t *testing.T) (*still, *Part) {
+	t.Helper()
+	w := &still{}
+	s := &settings.Settings{Operators: settings.Defaults()}
+	s.Deployment.Workers.Report, s.Deployment.Workers.Lease = 2, 14
+	s.Deployment.State.ValueKB = 16
+	h := &host{w: w, s: s}
+	h.l = ledger.New(w, "state", "n0", ledger.Limits{RPS: 100, WriteRPS: 100, ValueKB: 16, TxnOps: 12, Members: 1}, func(string, []byte) {})
+	p := New(0, 100, h, func() wire.Cond { return wire.Cond{Key: "a/o/0", Stamp: 7} }, 0)
+	p.OnMachine("i-1", &MachineRecord{Type: "small", Zone: "a", Address: "w"})
+	m := p.Machines["i-1"]
+	if !p.Report(m, &wire.Report{Machine: "i-1", Address: "w", Type: "small", Zone: "a", Session: 1, Seq: 1, Token: 100}, true) {
+		t.Fatal("report refused")
+	}
+	p.OnJob("wk-1", &JobRecord{Job: wire.Job{ID: "wk-1", Shape: wire.Array, Tasks: 2, Cores: 1, Estimate: 9}, Chunk: 2, Parts: []int{0}}, 3)
+	p.Pass()
+	return w, p
+}
+
+// The record that names the job must be written before the first launch.
+func TestRecordBeforeLaunch(t *testing.T) {
+	w, p := queued(t)
+	if o := p.Machines["i-1"].Orders(false, 0); len(o) != 0 {
+		t.Fatalf("ordered before the record is stored: %v", o)
+	}
+	w.settle()
+	if len(w.sent) != 1 || w.sent[0].Apply[0].Put != MachineKey("i-1") {
+		t.Fatalf("sent %v, want the machine's record", w.sent)
+	}
+	var rec MachineRecord
+	if err := wire.Decode(w.sent[0].Apply[0].Value, &rec); err != nil || strings.Join(rec.Jobs, " ") != "wk-1" {
+		t.Errorf("the record names %v (%v), want wk-1", rec.Jobs, err)
+	}
+}
+
+// Found on a simulated day (13 tasks ran on two machines): what an owner
+// still had to write when it lost its part was written when the same
+// controller held the part again, and a machine's record lost a job.
+func TestClosedTenureWritesNothing(t *testing.T) {
+	w, p := queued(t)
+	p.Close()
+	w.settle()
+	if len(w.sent) != 0 {
+		t.Errorf("a closed tenure wrote %v", w.sent)
+	}
+	if g := p.guard(); g.Stamp != never {
+		t.Errorf("its guard is %v, which may hold", g)
+	}
+}
--- /dev/null
+++ b/internal/standin/sim.go
@@ -0,0 +1,296 @@
+// Package standin has test doubles written for this project: a network in
+// simulated time with a state service, a cloud, workers and users on it, and
+// the rules that none of them may see broken. A run with the same seed gives
+// the same trace.
+package standin
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+
+	"curlewspool/internal/mesh"
+	"curlewspool/internal/node"
+	"curlewspool/internal/settings"
+	"curlewspool/internal/wire"
+	"curlewspool/internal/worker"
+
+	"google.golang.org/protobuf/proto"
+)
+
+// Sim is one simulated deployment.
+type Sim struct {
+	now    time.Duration
+	queue  events
+	n      int
+	rnd    *rand.Rand
+	S      *settings.Settings // as the first controller sees it
+	State  *State
+	Cloud  *Cloud
+	Nodes  map[string]*Host
+	serve  map[string]server // by address
+	cuts   map[string]bool
+	held   map[string][]func()
+	hold   bool
+	Traced []string
+	Broken []string
+
+	Workers  map[string]*Worker
+	jobs     map[string]*wire.Job
+	aborted  map[string]time.Duration
+	told     map[string]string
+	finished map[worker.Task]bool
+}
+
+// server answers a request, now or later.
+type server func(method, path string, body []byte, reply func(status int, body any))
+
+type event struct {
+	at time.Duration
+	n  int
+	f  func()
+}
+
+type events []event
+
+func (q events) Len() int { return len(q) }
+func (q events) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].n < q[j].n
+}
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *events) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+// New makes a deployment of three controllers n0, n1, n2 in two zones.
+func New(seed uint64) *Sim {
+	s := &Sim{rnd: rand.New(rand.NewPCG(seed, 1)), Nodes: map[string]*Host{}, serve: map[string]server{}, cuts: map[string]bool{},
+		held: map[string][]func(){}, Workers: map[string]*Worker{}, jobs: map[string]*wire.Job{},
+		aborted: map[string]time.Duration{}, told: map[string]string{}}
+	s.State = newState(s)
+	s.Cloud = newCloud(s)
+	names := []string{"n0", "n1", "n2"}
+	for i, name := range names {
+		p := settings.Platform{Name: name, Zone: []string{"a", "b"}[i%2], API: name, Mesh: name}
+		for _, m := range names {
+			if m != name {
+				p.Members = append(p.Members, settings.Member{Name: m, Address: m})
+			}
+		}
+		p.Services.State, p.Services.Cloud = "state", "cloud"
+		d := &p.Deployment
+		d.Zones = []string{"a", "b"}
+		d.Teams = []settings.Team{{Name: "red"}, {Name: "blue", CoresMax: 3}}
+		d.Workers.Report, d.Workers.Lease, d.Workers.GangWait, d.Workers.GangPeer, d.Workers.Cancel = 2, 14, 40, 6, 34
+		d.State.RPS, d.State.WriteRPS, d.State.ValueKB, d.State.TxnOps = 200, 80, 16, 12
+		d.Cloud.RPS, d.Cloud.ListLag = 4, 5
+		d.Limits.CoreShare, d.Limits.RAM, d.Limits.Sockets = 0.2, 100, 500
+		h := &Host{s: s, name: name, set: &settings.Settings{Platform: p, Operators: settings.Defaults()}}
+		s.Nodes[name] = h
+		if s.S == nil {
+			s.S = h.set
+		}
+	}
+	return s
+}
+
+// Start starts all controllers.
+func (s *Sim) Start() {
+	for _, name := range []string{"n0", "n1", "n2"} {
+		s.Nodes[name].Start()
+	}
+}
+
+// Trace notes something for people to read.
+func (s *Sim) Trace(format string, a ...any) {
+	s.Traced = append(s.Traced, fmt.Sprintf("%8.2f ", s.now.Seconds())+fmt.Sprintf(format, a...))
+}
+
+func (s *Sim) broken(format string, a ...any) {
+	s.Broken = append(s.Broken, fmt.Sprintf(format, a...))
+	s.Trace("BROKEN "+format, a...)
+}
+
+func (s *Sim) at(t time.Duration, f func()) {
+	s.n++
+	heap.Push(&s.queue, event{t, s.n, f})
+}
+
+func (s *Sim) after(d time.Duration, f func()) { s.at(s.now+max(d, 0), f) }
+
+// At does something at a time given in seconds.
+func (s *Sim) At(sec float64, f func()) { s.at(time.Duration(sec*float64(time.Second)), f) }
+
+// Run plays until a time given in seconds.
+func (s *Sim) Run(until float64) {
+	end := time.Duration(until * float64(time.Second))
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		e := heap.Pop(&s.queue).(event)
+		s.now = e.at
+		e.f()
+	}
+	s.now = end
+}
+
+// Cut stops traffic between two addresses; what is sent meanwhile is held
+// back, and delivered by Heal.
+func (s *Sim) Cut(a, b string) {
+	s.Trace("cut %s - %s", a, b)
+	s.cuts[a+"|"+b], s.cuts[b+"|"+a] = true, true
+}
+
+// Heal ends a cut.
+func (s *Sim) Heal(a, b string) {
+	s.Trace("heal %s - %s", a, b)
+	for _, k := range []string{a + "|" + b, b + "|" + a} {
+		delete(s.cuts, k)
+		for _, f := range s.held[k] {
+			s.after(s.latency(), f)
+		}
+		delete(s.held, k)
+	}
+}
+
+func (s *Sim) latency() time.Duration {
+	return time.Millisecond + time.Duration(s.rnd.IntN(2000))*time.Microsecond
+}
+
+// deliver carries one message.
+func (s *Sim) deliver(from, to string, f func()) {
+	if k := from + "|" + to; s.cuts[k] {
+		s.held[k] = append(s.held[k], f)
+		return
+	}
+	s.after(s.latency(), f)
+}
+
+// call is one request and its answer; done is called once, with 0 at the time-out.
+func (s *Sim) call(from, to, method, path string, in, out any, timeout time.Duration, done func(int)) {
+	var body []byte
+	if in != nil {
+		body = wire.Encode(in)
+	}
+	over := false
+	s.after(timeout, func() {
+		if !over {
+			over = true
+			done(0)
+		}
+	})
+	s.deliver(from, to, func() {
+		srv := s.serve[to]
+		if srv == nil {
+			return // silent, like a machine without power
+		}
+		srv(method, path, body, func(status int, answer any) {
+			var b []byte
+			if answer != nil {
+				b = wire.Encode(answer)
+			}
+			s.deliver(to, from, func() {
+				if over {
+					return
+				}
+				over = true
+				if out != nil && len(b) > 0 {
+					if err := wire.Decode(b, out); err != nil {
+						s.broken("answer of %s%s not understood: %v", to, path, err)
+					}
+				}
+				done(status)
+			})
+		})
+	})
+}
+
+// Host runs one controller; a crash drops all its callbacks.
+type Host struct {
+	s     *Sim
+	name  string
+	set   *settings.Settings
+	life  int
+	up    bool
+	start time.Duration
+	Node  *node.Node
+}
+
+// Start starts the controller's process.
+func (h *Host) Start() {
+	h.life++
+	h.up, h.start = true, h.s.now
+	h.Node = node.New(&world{h, h.life}, h.set)
+	h.Node.Start()
+}
+
+// Crash ends it without warning.
+func (h *Host) Crash() {
+	h.s.Trace("%s crashes", h.name)
+	h.up = false
+	h.life++
+}
+
+type world struct {
+	h    *Host
+	life int
+}
+
+func (w *world) alive() bool        { return w.h.up && w.h.life == w.life }
+func (w *world) Now() time.Duration { return w.h.s.now - w.h.start + time.Second }
+func (w *world) Wall() time.Time    { return time.Unix(1_700_000_000, 0).Add(w.h.s.now) }
+func (w *world) Rand() *rand.Rand   { return w.h.s.rnd }
+func (w *world) After(d time.Duration, f func()) {
+	w.h.s.after(d, func() {
+		if w.alive() {
+			f()
+		}
+	})
+}
+
+func (w *world) Call(addr, method, path string, in, out any, timeout time.Duration, done func(int)) {
+	w.h.s.call(w.h.name, addr, method, path, in, out, timeout, func(status int) {
+		if w.alive() {
+			done(status)
+		}
+	})
+}
+
+func (w *world) Send(member string, e *mesh.Envelope) {
+	e.From = w.h.name
+	b, err := proto.Marshal(e)
+	if err != nil {
+		panic(err)
+	}
+	s := w.h.s
+	if s.cuts[w.h.name+"|"+member] {
+		return // a mesh connection gives up after a while
+	}
+	s.after(s.latency(), func() {
+		to := s.Nodes[member]
+		c := &mesh.Envelope{}
+		if to.up && proto.Unmarshal(b, c) == nil {
+			to.Node.Heard(c)
+		}
+	})
+}
+
+// names lists the nodes that are up.
+func (s *Sim) names() []string {
+	var out []string
+	for n, h := range s.Nodes {
+		if h.up {
+			out = append(out, n)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Text is the whole trace.
+func (s *Sim) Text() string { return strings.Join(s.Traced, "\n") + "\n" }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -258,6 +258,22 @@
 	Zones   []string `cbor:"yards"`
 }
 
+// Fits counts how many of n tasks of a job an empty machine holds.
+func (t *MachineType) Fits(j *Job, n int) int {
+	const eps = 1e-9
+	k := float64(n)
+	if j.Cores > 0 {
+		k = min(k, math.Floor(t.Cores/j.Cores+eps))
+	}
+	if j.GPUs > 0 {
+		k = min(k, math.Floor(t.GPUs/j.GPUs+eps))
+	}
+	if j.Memory > 0 {
+		k = min(k, math.Floor(t.Memory/j.Memory+eps))
+	}
+	return int(k)
+}
+
 // Catalog answers GET /catalog.
 type Catalog struct {
 	Types []MachineType `cbor:"builds"`
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -291,6 +291,9 @@
 	}
 }
 
+// Doubtful tells whether orders are on their way or may yet be executed.
+func (m *Machine) Doubtful() bool { return m.ordered || m.doubt != 0 }
+
 // OrdersSent notes that direct orders are on their way.
 func (m *Machine) OrdersSent() { m.ordered = true }
 
--- /dev/null
+++ b/internal/worker/worker_test.go
@@ -0,0 +1,157 @@
+package worker
+
+import (
+	"testing"
+	"time"
+
+	"curlewspool/internal/wire"
+)
+
+const base = 1000
+
+// known is a machine whose worker has seen our token.
+func known() *Machine {
+	m := New("i-1", base, 0)
+	m.Report(report(1, base), time.Second, true)
+	return m
+}
+
+func report(seq, token uint64, tasks ...wire.TaskReport) *wire.Report {
+	return &wire.Report{Machine: "i-1", Address: "w", Session: 1, Seq: seq, Token: token, Tasks: tasks}
+}
+
+func vanished(ev []Event) int {
+	n := 0
+	for _, e := range ev {
+		if e.Kind == Vanished {
+			n++
+		}
+	}
+	return n
+}
+
+// Each case ends with the task halted and a report that does not list it. It
+// may be called gone only where the launch can no longer be executed.
+func TestGoneNeedsProof(t *testing.T) {
+	task := Task{"wk-1", 0}
+	for _, c := range []struct {
+		name string
+		play func(m *Machine, run *Run) []Event
+		gone bool
+	}{
+		{"never launched", func(m *Machine, run *Run) []Event {
+			if m.Stop(run, 0) {
+				return []Event{{run, Vanished}}
+			}
+			return nil
+		}, true},
+		{"launched in an answer, then an answer to orders made before", func(m *Machine, run *Run) []Event {
+			m.Orders(false, 0)
+			m.Stop(run, 0)
+			ev, _ := m.Report(report(2, base), time.Second, false)
+			return ev
+		}, false},
+		{"launched in an answer, then the next posted report", func(m *Machine, run *Run) []Event {
+			m.Orders(false, 0)
+			m.Stop(run, 0)
+			ev, _ := m.Report(report(2, base), time.Second, true)
+			return ev
+		}, true},
+		{"orders still on their way", func(m *Machine, run *Run) []Event {
+			m.Orders(true, 0)
+			m.OrdersSent()
+			m.Stop(run, 0)
+			ev, _ := m.Report(report(2, base), time.Second, true)
+			return ev
+		}, false},
+		{"orders lost, worker has not seen a higher token", func(m *Machine, run *Run) []Event {
+			m.Orders(true, 0)
+			m.OrdersSent()
+			m.OrdersLost(base)
+			m.Stop(run, 0)
+			ev, _ := m.Report(report(2, base), time.Second, true)
+			return ev
+		}, false},
+		{"orders lost, worker has seen the higher token", func(m *Machine, run *Run) []Event {
+			m.Orders(true, 0)
+			m.OrdersSent()
+			m.OrdersLost(base)
+			m.Stop(run, 0)
+			ev, _ := m.Report(report(2, m.Token), time.Second, true)
+			return ev
+		}, true},
+		{"an older report", func(m *Machine, run *Run) []Event {
+			m.Orders(false, 0)
+			m.Stop(run, 0)
+			ev, ok := m.Report(report(1, base), time.Second, true)
+			if ok {
+				return nil
+			}
+			return ev
+		}, false},
+		{"the lease is over", func(m *Machine, run *Run) []Event {
+			m.Orders(false, 0)
+			m.Answered(2 * time.Second)
+			if !m.LeaseOver(17*time.Second, 14*time.Second, 0.0005) {
+				return nil
+			}
+			return m.Expire()
+		}, true},
+	} {
+		m := known()
+		run := m.Place(task, 7, false, 0)
+		if got := vanished(c.play(m, run)) == 1; got != c.gone {
+			t.Errorf("%s: gone is %v, want %v", c.name, got, c.gone)
+		}
+	}
+}
+
+// A lease that may still run must not be called over.
+func TestLeaseBound(t *testing.T) {
+	m := known()
+	m.Answered(10 * time.Second)
+	if m.LeaseOver(24*time.Second, 14*time.Second, 0.0005) {
+		t.Error("over while the worker's clock may show less than lease_s")
+	}
+	// Messages of the old session count for nothing after that.
+	m.Expire()
+	if _, ok := m.Report(report(99, base), time.Minute, true); ok {
+		t.Error("a late report of the ended session was believed")
+	}
+}
+
+// A report made before the takeover proves nothing about what the earlier
+// owner may have launched since.
+func TestOldReportDoesNotResolve(t *testing.T) {
+	m := New("i-1", base, 0)
+	m.Report(report(5, base-1), time.Second, true)
+	if m.Resolved {
+		t.Error("resolved by a report under the earlier owner's token")
+	}
+	if o := m.Orders(false, 0); len(o) != 0 {
+		t.Errorf("orders %v before the machine is known", o)
+	}
+	m.Report(report(6, base), time.Second, true)
+	if !m.Resolved {
+		t.Error("not resolved by a report under our token")
+	}
+}
+
+// After a reap a repeated launch would start the task again: no reap while a
+// copy of the launch may be on its way.
+func TestNoReapInDoubt(t *testing.T) {
+	m := known()
+	run := m.Place(Task{"wk-1", 0}, 7, false, 0)
+	m.Orders(true, 0)
+	m.OrdersSent()
+	m.OrdersLost(base)
+	m.Report(report(2, base, wire.TaskReport{Task: "wk-1/0", Try: 7, State: wire.Ended, Cause: wire.Done}), time.Second, true)
+	run.Reap = true
+	if o := m.Orders(false, 0); len(o) != 0 {
+		t.Errorf("%v while lost orders may still be executed", o)
+	}
+	m.Report(report(3, m.Token, wire.TaskReport{Task: "wk-1/0", Try: 7, State: wire.Ended, Cause: wire.Done}), time.Second, true)
+	if o := m.Orders(false, 0); len(o) != 1 || o[0].Verb != wire.Reap {
+		t.Errorf("orders %v, want a reap", o)
+	}
+}
