--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -153,6 +153,7 @@
 		if status != 200 {
 			return // the next tick asks again
 		}
+		slog.Info("fleet: deleted", "machines", ids)
 		for _, id := range ids {
 			delete(f.booting, id)
 			f.deleted[id] = f.w.Now()
@@ -273,7 +274,16 @@
 		f.unsure = f.unsure[1:]
 		f.ask(u.req, u.at)
 	}
+	// What may only use ordinary machines comes first, large before small:
+	// else small tasks would be counted into the machines that boot for it,
+	// and more would be rented than start.
 	sort.SliceStable(gaps, func(i, k int) bool {
+		if gaps[i].Job.Spot != gaps[k].Job.Spot {
+			return !gaps[i].Job.Spot
+		}
+		if a, b := gaps[i].Job, gaps[k].Job; !a.Spot && a.Cores != b.Cores {
+			return a.Cores > b.Cores
+		}
 		if gaps[i].Job.Rank != gaps[k].Job.Rank {
 			return gaps[i].Job.Rank > gaps[k].Job.Rank
 		}
@@ -434,7 +444,7 @@
 		now := f.w.Now()
 		switch status {
 		case 200:
-			slog.Info("fleet: rented", "type", req.Type, "zone", req.Zone, "spot", req.Spot, "wanted", req.Count, "got", len(out.Machines))
+			slog.Info("fleet: rented", "type", req.Type, "zone", req.Zone, "spot", req.Spot, "wanted", req.Count, "got", out.Machines)
 			for _, id := range out.Machines {
 				f.booting[id] = booting{o, at}
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -604,6 +604,23 @@
 	return false
 }
 
+// Spare: an empty machine of the same type and kind with a lower name exists.
+func (n *Node) Spare(m *part.Machine) bool {
+	for _, s := range append(n.fresh(), n.status) {
+		if s == nil {
+			continue
+		}
+		for _, p := range s.Parts {
+			for _, r := range p.Free {
+				if r.Empty && r.Type == m.Type && r.Spot == m.Spot && r.Machine < m.ID {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // lend finds machines in other parts for gangs that their own part is too
 // small for: such a gang is in effect the head of all parts.
 func (n *Node) lend(own *mesh.Status) {
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -28,6 +28,8 @@
 	MayLaunch() bool
 	// Wanted: work that waits anywhere could run on the machine.
 	Wanted(m *Machine) bool
+	// Spare: another empty machine of its type is there to be kept instead.
+	Spare(m *Machine) bool
 	// TeamDemand is the cores and GPUs of a team's unfinished jobs.
 	TeamDemand(team string) (cores, gpus float64)
 }
@@ -734,7 +736,7 @@
 	for _, s := range p.large {
 		// Few machines take such jobs: one that does is kept as long as the
 		// next may be expected.
-		if 2*s.job.Cores > t.Cores && now-s.seen < 10*keep && p.allowed(m, &s.job) {
+		if 2*s.job.Cores > t.Cores && now-s.seen < 10*keep && p.allowed(m, &s.job) && !p.h.Spare(m) {
 			keep *= 6
 			break
 		}
--- a/internal/part/tenure_test.go
+++ b/internal/part/tenure_test.go
@@ -53,6 +53,7 @@
 func (h *host) Order(*Part, *Machine)                {}
 func (h *host) MayLaunch() bool                      { return true }
 func (h *host) Wanted(*Machine) bool                 { return true }
+func (h *host) Spare(*Machine) bool                  { return false }
 func (h *host) TeamDemand(string) (float64, float64) { return 0, 0 }
 
 // queued makes a part with one machine and a job whose start waits for the
