--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -98,21 +98,28 @@
 
 // Score is the weighted priority of a queued job (DESIGN; paper, section 4).
 // The weight of the user's priority is ours: PROTOCOL lets a higher one
-// preempt, so it must also be ahead in the queue.
-func Score(s *settings.ScoreSettings, j *wire.Job, age, shortest, estimate float64) float64 {
+// preempt, so it must also be ahead in the queue. Ours, too: a job without a
+// deadline has those that the objectives set for its class; the first that it
+// can still meet counts.
+func Score(s *settings.ScoreSettings, j *wire.Job, deadlines []float64, age, shortest, estimate float64) float64 {
 	v := s.Aging*age + s.Priority*float64(j.Rank)
 	if estimate > 0 {
 		v += s.Short * shortest / estimate
 	}
-	d := s.DeadlineMin
 	if j.Deadline > 0 {
-		ends := age + estimate
-		from := j.Deadline - s.K*estimate
-		if ends > from && ends <= j.Deadline && j.Deadline > from {
-			d += (s.DeadlineMax - s.DeadlineMin) * (ends - from) / (j.Deadline - from)
+		deadlines = []float64{j.Deadline}
+	}
+	ends := age + estimate
+	for _, due := range deadlines {
+		if ends > due {
+			continue // late
+		}
+		if from := due - s.K*estimate; ends > from && due > from {
+			return v + s.DeadlineMin + (s.DeadlineMax-s.DeadlineMin)*(ends-from)/(due-from)
 		}
+		break
 	}
-	return v + d
+	return v + s.DeadlineMin
 }
 
 func (p *Part) queue(now time.Duration) []*Work {
@@ -149,7 +156,7 @@
 	wall := p.h.Wall()
 	for _, w := range q {
 		j := &w.Rec.Job
-		w.score = Score(s, j, wall-w.Rec.At, shortest, j.Estimate)
+		w.score = Score(s, j, p.h.Settings().Deadlines(j.Class), wall-w.Rec.At, shortest, j.Estimate)
 		if p.guaranteed(j.Team) {
 			w.score += 1e9
 		}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -304,6 +304,19 @@
 	return n
 }
 
+// Deadlines lists by when jobs of a class are expected to be complete, in
+// seconds after submission, in rising order.
+func (p *Platform) Deadlines(class string) []float64 {
+	var out []float64
+	for _, o := range p.Deployment.Objectives {
+		if o.Class == class && o.Kind == "finished" && o.Within > 0 {
+			out = append(out, o.Within)
+		}
+	}
+	sort.Float64s(out)
+	return out
+}
+
 // Team finds a team.
 func (p *Platform) Team(name string) *Team {
 	for i := range p.Deployment.Teams {
