--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -22,8 +22,7 @@
 	Types() map[string]*wire.MachineType
 	Job(id string) *part.JobRecord
 	Counts(id string) (done, running int, started bool)
-	// Plan asks the leader for the job's parts; without an answer in time
-	// they are left open (-1) for the leader to fill in.
+	// Plan asks the leader for the job's parts.
 	Plan(j *wire.Job, done func(rank, chunk int, parts []int))
 	// News tells the owners of a job's parts that its record changed.
 	News(id string)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,7 @@
 	progress map[string]map[int]*part.Progress
 	machines map[string]*part.MachineRecord
 	parts    map[int]*part.Part
+	large    map[string]part.Large
 	cleaning map[string]bool // orphaned progress being deleted
 
 	peers   map[string]*peer
@@ -51,7 +52,6 @@
 	short     []*mesh.Gap // gangs that are larger than their part
 	status    *mesh.Status
 	recording map[string]bool
-	placing   map[string]bool
 	released  time.Duration
 
 	asks   map[uint64]func(*mesh.Answer)
@@ -73,7 +73,7 @@
 	d := &s.Deployment
 	n := &Node{w: w, s: s, names: s.Names(), types: map[string]*wire.MachineType{}, jobs: map[string]*part.JobRecord{},
 		progress: map[string]map[int]*part.Progress{}, machines: map[string]*part.MachineRecord{}, parts: map[int]*part.Part{},
-		cleaning: map[string]bool{}, peers: map[string]*peer{}, recording: map[string]bool{}, placing: map[string]bool{},
+		cleaning: map[string]bool{}, large: map[string]part.Large{}, peers: map[string]*peer{}, recording: map[string]bool{},
 		asks: map[uint64]func(*mesh.Answer){}, ranker: &dispatch.Ranker{Max: s.Rank.Max, Window: s.Rank.Window}}
 	for _, m := range s.Members {
 		n.peers[m.Name] = &peer{heard: -time.Hour, ready: -time.Hour}
@@ -215,6 +215,7 @@
 			return
 		}
 		n.jobs[id] = rec
+		n.noteLarge(&rec.Job)
 		e, _ := n.l.Get(key)
 		n.eachPart(func(p *part.Part) { p.OnJob(id, rec, e.Stamp); n.feedProgress(p, id) })
 	case strings.HasPrefix(key, "a/p/"):
@@ -568,7 +569,6 @@
 	n.status = st
 	if n.leads() {
 		n.assign()
-		n.place()
 		n.rent(now, st)
 		n.lend(st)
 	}
@@ -604,6 +604,27 @@
 	return false
 }
 
+// noteLarge remembers the shapes for which machines are kept whole. Every
+// controller sees all jobs, so all parts keep theirs.
+func (n *Node) noteLarge(j *wire.Job) {
+	if j.Shape != wire.Gang && j.Tasks > 1 {
+		return
+	}
+	if len(n.large) >= 64 {
+		oldest := ""
+		for _, k := range sortedKeys(n.large) {
+			if oldest == "" || n.large[k].Seen < n.large[oldest].Seen {
+				oldest = k
+			}
+		}
+		delete(n.large, oldest)
+	}
+	n.large[fmt.Sprintf("%s/%s/%v/%v", j.Class, j.Zone, j.Types, j.Cores)] = part.Large{Job: *j, Seen: n.w.Now()}
+}
+
+// Large lists those shapes.
+func (n *Node) Large() map[string]part.Large { return n.large }
+
 // Spare: an empty machine of the same type and kind with a lower name exists.
 func (n *Node) Spare(m *part.Machine) bool {
 	for _, s := range append(n.fresh(), n.status) {
@@ -808,7 +829,9 @@
 		return
 	}
 	o := n.book.Owner(lead.Leader)
-	alone := func() { done(0, j.Tasks, []int{-1}) }
+	// Without a leader, or with a slow one, this controller chooses by what all
+	// owners told it last, so that users need not wait for an election.
+	alone := func() { done(n.choose(j)) }
 	if o == "" || n.peers[o] == nil || n.w.Now()-n.peers[o].heard > 3*n.heartbeat() {
 		alone()
 		return
@@ -823,7 +846,6 @@
 		done(int(a.Rank), int(a.Chunk), parts)
 	}
 	n.w.Send(o, &mesh.Envelope{Body: &mesh.Envelope_Ask{Ask: &mesh.Ask{Id: id, Job: wire.Encode(j)}}})
-	// Accepted without the leader if it is slow: it fills the part in later.
 	n.w.After(n.heartbeat()/3, func() {
 		if n.asks[id] != nil {
 			delete(n.asks, id)
@@ -832,36 +854,6 @@
 	})
 }
 
-// place fills in the parts of jobs that were accepted without the leader.
-func (n *Node) place() {
-	for _, id := range sortedKeys(n.jobs) {
-		rec := n.jobs[id]
-		if rec.Parts[0] >= 0 || n.placing[id] || len(n.placing) > 20 {
-			continue
-		}
-		n.placing[id] = true
-		rank, chunk, parts := n.choose(&rec.Job)
-		key := part.JobKey(id)
-		n.l.Write(ledger.Urgent, &ledger.Write{
-			Build: func(nonce string) ([]wire.Cond, []wire.Op) {
-				r := n.jobs[id]
-				if r == nil || r.Parts[0] >= 0 {
-					return nil, nil
-				}
-				v := *r
-				v.W, v.Rank, v.Chunk, v.Parts = nonce, rank, chunk, parts
-				return []wire.Cond{n.book.Guard(lead.Leader), n.l.Stamp(key)}, []wire.Op{{Put: key, Value: wire.Encode(&v)}}
-			},
-			Done: func(ok bool, _ uint64) {
-				delete(n.placing, id)
-				if ok {
-					n.News(id)
-				}
-			},
-		})
-	}
-}
-
 // News hurries the others' caches.
 func (n *Node) News(id string) {
 	for _, name := range sortedKeys(n.peers) {
--- a/internal/part/job.go
+++ b/internal/part/job.go
@@ -15,7 +15,7 @@
 	At    float64  `cbor:"at"` // time of day of acceptance, seconds
 	Rank  int      `cbor:"r"`  // the leader's margin rank
 	Chunk int      `cbor:"ch"` // tasks of a chunk
-	Parts []int    `cbor:"p"`  // part of each chunk; -1: the leader has yet to choose
+	Parts []int    `cbor:"p"`  // part of each chunk
 }
 
 // Progress is what a part's owner keeps of a job, under ProgressKey.
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -28,6 +28,8 @@
 	MayLaunch() bool
 	// Wanted: work that waits anywhere could run on the machine.
 	Wanted(m *Machine) bool
+	// Large lists the shapes of single tasks and gangs seen lately, in any part.
+	Large() map[string]Large
 	// Spare: another empty machine of its type is there to be kept instead.
 	Spare(m *Machine) bool
 	// TeamDemand is the cores and GPUs of a team's unfinished jobs.
@@ -67,22 +69,22 @@
 	dirty  bool
 
 	headWaits bool
-	large     map[string]largeShape // shapes that fill most of a machine
 	silentOK  time.Duration
 	lastPass  time.Duration
 	corr      map[string]float64 // by class: seen run time over estimate
 }
 
-type largeShape struct {
-	job  wire.Job
-	seen time.Duration
+// Large is a shape of job whose tasks may fill most of a machine.
+type Large struct {
+	Job  wire.Job
+	Seen time.Duration
 }
 
 // New takes a part over. bound is the latest moment at which an earlier owner
 // may have renewed a worker's lease.
 func New(k int, token uint64, h Host, guard func() wire.Cond, bound time.Duration) *Part {
 	p := &Part{K: k, Token: token, Machines: map[string]*Machine{}, Works: map[string]*Work{}, h: h,
-		bound: bound, dirty: true, large: map[string]largeShape{}, corr: map[string]float64{}}
+		bound: bound, dirty: true, corr: map[string]float64{}}
 	p.guard = func() wire.Cond {
 		if p.closed {
 			return wire.Cond{Key: guard().Key, Stamp: never}
@@ -141,7 +143,6 @@
 		}
 		w = newWork(rec, stamp, p.h.Now())
 		p.Works[id] = w
-		p.noteLarge(&rec.Job)
 		slog.Debug("part: queued", "part", p.K, "job", id, "tasks", rec.Job.Tasks, "rank", rec.Rank)
 	}
 	w.Rec, w.Stamp = rec, stamp
@@ -733,10 +734,10 @@
 	if m.rec.Own {
 		keep = world.Seconds(t.Boot * p.h.Settings().Rent.OwnIdleBoots)
 	}
-	for _, s := range p.large {
+	for _, s := range p.h.Large() {
 		// Few machines take such jobs: one that does is kept as long as the
 		// next may be expected.
-		if 2*s.job.Cores > t.Cores && now-s.seen < 10*keep && p.allowed(m, &s.job) && !p.h.Spare(m) {
+		if 2*s.Job.Cores > t.Cores && now-s.Seen < 10*keep && p.allowed(m, &s.Job) && !p.h.Spare(m) {
 			keep *= 6
 			break
 		}
@@ -759,15 +760,3 @@
 	}
 	return world.Seconds(max(j.Estimate, 1) * c)
 }
-
-func (p *Part) noteLarge(j *wire.Job) {
-	if j.Shape == wire.Gang || j.Tasks == 1 {
-		p.large[fmt.Sprintf("%s/%s/%v", j.Class, j.Zone, j.Types)] = largeShape{*j, p.h.Now()}
-		for len(p.large) > 64 {
-			for k := range p.large {
-				delete(p.large, k)
-				break
-			}
-		}
-	}
-}
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -406,8 +406,8 @@
 	if r.m.Spot {
 		return false
 	}
-	for _, s := range p.large {
-		l := &s.job
+	for _, s := range p.h.Large() {
+		l := &s.Job
 		if 2*l.Cores <= r.t.Cores || 2*j.Cores >= l.Cores || l.Rank < j.Rank || !Allows(l, r.t, r.m.Zone, r.m.Spot) {
 			continue
 		}
@@ -517,9 +517,13 @@
 		}
 	}
 	if have < need {
-		return false
+		return p.preempt(w, rooms, need, now)
+	}
+	start := now
+	for _, o := range best {
+		start = max(start, o.at)
 	}
-	if p.preempt(w, rooms, need, now) {
+	if p.tooLate(w, start, now) && p.preempt(w, rooms, need, now) {
 		return true
 	}
 	for r, o := range best {
@@ -531,6 +535,34 @@
 	return true
 }
 
+// tooLate tells whether starting at the given time misses what is expected of
+// the job. If it does not, stopping others would only cost their work.
+func (p *Part) tooLate(w *Work, start, now time.Duration) bool {
+	j := &w.Rec.Job
+	age := p.h.Wall() - w.Rec.At
+	wait := age + (start - now).Seconds()
+	expected := false
+	for _, o := range p.h.Settings().Deployment.Objectives {
+		if o.Class == j.Class && o.Kind == "wait" {
+			expected = true
+			if wait > o.Within {
+				return true
+			}
+		}
+	}
+	due := p.h.Settings().Deadlines(j.Class)
+	if j.Deadline > 0 {
+		due = []float64{j.Deadline}
+	}
+	for _, d := range due {
+		expected = true
+		if wait+j.Estimate > d {
+			return true
+		}
+	}
+	return !expected && (start-now).Seconds() > j.Estimate/2 || p.guaranteed(j.Team)
+}
+
 // preempt stops work that may be stopped for w (PROTOCOL, "Preemption") if
 // that frees room for the tasks it needs. While victims save, their room
 // stays reserved for w.
