--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -96,15 +96,16 @@
 	return out
 }
 
-// Score is the weighted priority of a queued job (DESIGN; paper, section 4).
+// Score is the weighted priority of a queued job (DESIGN; paper, section 4);
+// short is the shortest queued estimate over its own.
 // The weight of the user's priority is ours: PROTOCOL lets a higher one
 // preempt, so it must also be ahead in the queue. Ours, too: a job without a
 // deadline has those that the objectives set for its class; the first that it
 // can still meet counts.
-func Score(s *settings.ScoreSettings, j *wire.Job, deadlines []float64, age, shortest, estimate float64) float64 {
+func Score(s *settings.ScoreSettings, j *wire.Job, deadlines []float64, age, short, estimate float64) float64 {
 	v := s.Aging*age + s.Priority*float64(j.Rank)
 	if estimate > 0 {
-		v += s.Short * shortest / estimate
+		v += s.Short * short
 	}
 	if j.Deadline > 0 {
 		deadlines = []float64{j.Deadline}
@@ -122,6 +123,15 @@
 	return v + s.DeadlineMin
 }
 
+// length is the estimate that the short-job term compares: of an array, what
+// is queued of it here, since its user waits for the last task (ours).
+func (w *Work) length() float64 {
+	if w.gang() {
+		return w.Rec.Job.Estimate
+	}
+	return w.Rec.Job.Estimate * float64(max(w.idle, 1))
+}
+
 func (p *Part) queue(now time.Duration) []*Work {
 	blocked := map[string]bool{}
 	for _, m := range p.Machines {
@@ -148,7 +158,7 @@
 			continue
 		}
 		q = append(q, w)
-		if e := w.Rec.Job.Estimate; e > 0 {
+		if e := w.length(); e > 0 {
 			shortest = min(shortest, e)
 		}
 	}
@@ -156,7 +166,7 @@
 	wall := p.h.Wall()
 	for _, w := range q {
 		j := &w.Rec.Job
-		w.score = Score(s, j, p.h.Settings().Deadlines(j.Class), wall-w.Rec.At, shortest, j.Estimate)
+		w.score = Score(s, j, p.h.Settings().Deadlines(j.Class), wall-w.Rec.At, shortest/max(w.length(), 1e-9), j.Estimate)
 		if p.guaranteed(j.Team) {
 			w.score += 1e9
 		}
@@ -657,10 +667,12 @@
 	now := p.h.Now()
 	s := dispatch.NewSlots(top)
 	var gaps []*mesh.Gap
+	queued := 0
 	for _, w := range p.works() {
 		if w.idle == 0 || w.ending {
 			continue
 		}
+		queued += w.idle
 		s.Add(min(w.Rec.Rank, top), dispatch.Work(&w.Rec.Job, w.idle))
 		if now >= w.notTo && len(gaps) < 64 && !w.broken && !w.halting {
 			gaps = append(gaps, &mesh.Gap{Job: w.Rec.Job.ID, Tasks: int32(w.idle), WaitedS: (now - w.queuedAt).Seconds(),
@@ -678,6 +690,7 @@
 		out.Free = append(out.Free, &mesh.Room{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot, Cores: r.cores, Gpus: r.gpus, MemoryGb: r.mem,
 			Machine: r.m.ID, Empty: len(r.m.Runs) == 0})
 	}
+	slog.Debug("part: status", "part", p.K, "machines", len(p.Machines), "jobs", len(p.Works), "queued", queued, "free", out.Free, "head", p.headWaits)
 	return out, gaps
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -136,7 +136,7 @@
 func Defaults() Operators {
 	return Operators{
 		Rank:     RankSettings{Max: 8, Window: 100},
-		Score:    ScoreSettings{Aging: 1, Short: 10, DeadlineMin: 0, DeadlineMax: 200, K: 2, Priority: 1000},
+		Score:    ScoreSettings{Aging: 0.5, Short: 1000, DeadlineMin: 0, DeadlineMax: 500, K: 5, Priority: 3000},
 		Dispatch: DispatchSettings{ChunksPerPart: 1, ChunkMin: 4},
 		Rent:     RentSettings{IdleBoots: 1.5, OwnIdleBoots: 10, LateBoots: 5},
 		Grants:   GrantSettings{Life: 1, Renew: 0.08, Absent: 0.35},
