--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -46,6 +46,7 @@
 	idleAt   time.Duration // when it last became empty
 	lent     time.Duration // being emptied for another part until then
 	lending  bool
+	draining bool
 	fullTo   time.Duration // refused a start: nothing more before
 	strikes  map[string]bool
 	images   map[string]bool
@@ -655,11 +656,48 @@
 		p.retire(m, "silent")
 		return
 	}
-	if len(m.Runs) > 0 {
+	switch {
+	case !m.Resolved || len(m.Runs) > 0 && !m.draining && !p.movable(m, now):
 		m.idleAt = now
-	} else if m.Resolved && p.idleTooLong(m, now) {
+	case !m.draining && !p.idleTooLong(m, now):
+	case len(m.Runs) == 0:
 		p.retire(m, "idle")
+	default:
+		m.draining = true
+		for _, key := range m.Keys() {
+			run := m.Runs[key]
+			if w := p.Works[run.Job]; w != nil && !run.Over() && !run.Halt && !run.Foreign {
+				p.stopRun(w, &placement{m, run}, "its machine is returned")
+			}
+		}
+	}
+}
+
+// movable: an ordinary machine that only holds tasks which lose nothing when
+// they are stopped, and which free spot machines of the part would take, is
+// as good as idle.
+func (p *Part) movable(m *Machine, now time.Duration) bool {
+	if m.Spot || m.rec.Own {
+		return false
+	}
+	need := 0.0
+	for _, run := range m.Runs {
+		w := p.Works[run.Job]
+		if run.Over() {
+			continue
+		}
+		if w == nil || w.gang() || w.Rec.Job.Mark <= 0 || !w.Rec.Job.Spot || run.Began == 0 {
+			return false
+		}
+		need += w.Rec.Job.Cores
+	}
+	free := 0.0
+	for _, r := range p.rooms(now) {
+		if r.m.Spot {
+			free += r.cores
+		}
 	}
+	return free >= need
 }
 
 // alone tells whether a silent machine is silent by itself: if many are, the
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -61,7 +61,7 @@
 
 // usable tells whether a machine may get more to do.
 func (p *Part) usable(m *Machine, now time.Duration) bool {
-	return m.Resolved && m.Session > 0 && !m.lending && now >= m.lent && m.retiring == "" && !m.Noticed && now >= m.fullTo &&
+	return m.Resolved && m.Session > 0 && !m.lending && !m.draining && now >= m.lent && m.retiring == "" && !m.Noticed && now >= m.fullTo &&
 		now-m.LastHeard < 3*p.report()
 }
 
@@ -450,7 +450,7 @@
 	c := p.fetch(r, j).Seconds()
 	report := p.h.Settings().Deployment.Workers.Report
 	if !r.m.Spot && j.Spot {
-		c += report
+		c += 5 * report // an ordinary machine in use for it cannot be returned
 	}
 	if r.cores >= r.t.Cores {
 		c += report
