--- a/internal/part/job.go
+++ b/internal/part/job.go
@@ -92,7 +92,6 @@
 	cursor  int // no idle task of ours is below
 
 	runs      map[worker.Task]*placement
-	saved     int // done tasks of ours that the ledger has
 	doneMine  int
 	dirty     bool // progress to be written
 	writing   bool
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -70,7 +70,6 @@
 	dirty  bool
 
 	headWaits bool
-	silentOK  time.Duration
 	lastPass  time.Duration
 	corr      map[string]float64 // by class: seen run time over estimate
 }
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -34,7 +34,6 @@
 	serve  map[string]server // by address
 	cuts   map[string]bool
 	held   map[string][]func()
-	hold   bool
 	Traced []string
 	Broken []string
 
