--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,6 +53,8 @@
 	status    *mesh.Status
 	recording map[string]bool
 	released  time.Duration
+	signing   bool
+	signed    time.Duration
 
 	asks   map[uint64]func(*mesh.Answer)
 	askID  uint64
@@ -64,7 +66,9 @@
 
 type peer struct {
 	heard  time.Duration // of its latest status
+	since  time.Duration // ready without a break since
 	ready  time.Duration // of its latest status that said ready
+	sign   time.Duration // of its latest sign of life in the state service
 	status *mesh.Status
 }
 
@@ -76,7 +80,7 @@
 		cleaning: map[string]bool{}, large: map[string]part.Large{}, peers: map[string]*peer{}, recording: map[string]bool{},
 		asks: map[uint64]func(*mesh.Answer){}, ranker: &dispatch.Ranker{Max: s.Rank.Max, Window: s.Rank.Window}}
 	for _, m := range s.Members {
-		n.peers[m.Name] = &peer{heard: -time.Hour, ready: -time.Hour}
+		n.peers[m.Name] = &peer{heard: -time.Hour, ready: -time.Hour, sign: -time.Hour}
 	}
 	n.l = ledger.New(w, s.Services.State, s.Name, ledger.Limits{RPS: d.State.RPS, WriteRPS: d.State.WriteRPS,
 		ValueKB: d.State.ValueKB, TxnOps: d.State.TxnOps, Members: len(n.names)}, n.changed)
@@ -202,6 +206,10 @@
 	case key == "":
 	case strings.HasPrefix(key, "a/o/"):
 		n.book.Change(key, value)
+	case strings.HasPrefix(key, "a/h/"):
+		if p := n.peers[key[4:]]; p != nil && value != nil && n.l.Loaded() {
+			p.sign = n.w.Now()
+		}
 	case strings.HasPrefix(key, "a/j/"):
 		id := key[4:]
 		if value == nil {
@@ -401,19 +409,41 @@
 	}
 	now := n.w.Now()
 	limit := time.Duration(float64(n.lease()) * n.s.Grants.Absent)
-	return now-p.ready > limit && n.ready() && now-n.goodFor > limit
+	return now-max(p.ready, p.sign) > limit && n.ready() && now-n.goodFor > limit
 }
 
-// majority: this controller hears more than half of all, itself included.
-// One that is cut off from the others must not take theirs away.
-func (n *Node) majority() bool {
-	now, c := n.w.Now(), 1
-	for _, p := range n.peers {
-		if now-p.ready < 3*n.heartbeat() {
-			c++
-		}
+// heard tells whether a member's messages arrive.
+func (n *Node) heard(name string) bool {
+	p := n.peers[name]
+	return p == nil || n.w.Now()-p.heard < 3*n.heartbeat()
+}
+
+func signKey(name string) string { return "a/h/" + name }
+
+type sign struct {
+	W string `cbor:"w"`
+}
+
+// signs: while it does not hear some member, a controller leaves signs of
+// life in the state service. A zone that is cut off with a controller inside
+// goes on working; taking its parts away would only end the leases of workers
+// that nobody else reaches.
+func (n *Node) signs(now time.Duration) {
+	all := true
+	for name := range n.peers {
+		all = all && n.heard(name)
 	}
-	return 2*c > len(n.names)
+	if all || !n.ready() || n.signing || now-n.signed < n.lease()/12 {
+		return
+	}
+	n.signing, n.signed = true, now
+	key := signKey(n.s.Name)
+	n.l.Write(ledger.Soon, &ledger.Write{
+		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
+			return []wire.Cond{n.l.Stamp(key)}, []wire.Op{{Put: key, Value: wire.Encode(&sign{W: nonce}), Lease: n.l.Grant.ID}}
+		},
+		Done: func(bool, uint64) { n.signing = false },
+	})
 }
 
 func (n *Node) ownership() {
@@ -430,7 +460,7 @@
 	switch o := n.book.Owner(lead.Leader); {
 	case o == "":
 		n.book.Claim(lead.Leader, false)
-	case o != n.s.Name && n.absent(o) && n.majority():
+	case o != n.s.Name && n.absent(o):
 		slog.Info("node: the leader is absent", "leader", o)
 		n.book.Claim(lead.Leader, true)
 	}
@@ -453,18 +483,18 @@
 	}
 	for k, name := range n.names {
 		o := n.book.Owner(lead.PartKey(k))
-		if o != "" && !(n.absent(o) && n.majority()) {
+		if o != "" && !n.absent(o) {
 			continue
 		}
 		if o == "" && now-n.goodFor < 2*n.heartbeat() {
 			continue // others may still be starting
 		}
-		best := ""
-		if there(name) && count[name] == 0 {
+		best, zone := "", n.homeZone(k)
+		if there(name) && count[name] == 0 && (zone == "" || n.zoneOf(name) == zone) {
 			best = name
 		} else {
 			for _, m := range n.names {
-				if m != o && there(m) && (best == "" || count[m] < count[best]) {
+				if m != o && there(m) && (best == "" || n.fitter(m, best, zone, count)) {
 					best = m
 				}
 			}
@@ -480,16 +510,21 @@
 			n.w.Send(best, &mesh.Envelope{Body: &mesh.Envelope_Assign{Assign: &mesh.Assign{Part: int32(k)}}})
 		}
 	}
-	// A member without a part gets one back from a member with several.
 	if now-n.released < n.lease()/4 {
 		return
 	}
-	for _, m := range n.names {
-		if count[m] > 0 || !there(m) {
+	// A member without a part gets one back from a member with several; a part
+	// whose machines are mostly in one zone belongs to a member there.
+	for k := range n.names {
+		o, zone := n.book.Owner(lead.PartKey(k)), n.homeZone(k)
+		if o == "" || !there(o) || zone != "" && n.zoneOf(o) == zone {
 			continue
 		}
-		for k := range n.names {
-			if o := n.book.Owner(lead.PartKey(k)); count[o] > 1 && there(o) {
+		for _, m := range n.names {
+			if m == o || !there(m) || now-n.since(m) < n.lease()/4 {
+				continue
+			}
+			if zone != "" && n.zoneOf(m) == zone || zone == "" && count[m] == 0 && count[o] > 1 {
 				n.released = now
 				if o == n.s.Name {
 					n.book.Release(lead.PartKey(k))
@@ -502,6 +537,49 @@
 	}
 }
 
+// since is when a member became ready, as far as is known here.
+func (n *Node) since(name string) time.Duration {
+	if p := n.peers[name]; p != nil {
+		return p.since
+	}
+	return n.goodFor
+}
+
+// fitter: m is a better owner than b for a part that belongs to the zone.
+func (n *Node) fitter(m, b, zone string, count map[string]int) bool {
+	if zone != "" && (n.zoneOf(m) == zone) != (n.zoneOf(b) == zone) {
+		return n.zoneOf(m) == zone
+	}
+	return count[m] < count[b]
+}
+
+func (n *Node) zoneOf(name string) string {
+	for _, m := range n.s.Members {
+		if m.Name == name {
+			return m.Zone
+		}
+	}
+	return n.s.Zone
+}
+
+// homeZone is the zone that has most of a part's cores, if one has by far:
+// with an owner there, a cut between zones does not part it from them.
+func (n *Node) homeZone(k int) string {
+	cores, all := map[string]float64{}, 0.0
+	for _, m := range n.machines {
+		if t := n.types[m.Type]; t != nil && m.Part == k && m.Retire == "" {
+			cores[m.Zone] += t.Cores
+			all += t.Cores
+		}
+	}
+	for z, c := range cores {
+		if c > 0.6*all {
+			return z
+		}
+	}
+	return ""
+}
+
 // --- time ---
 
 func (n *Node) tick() {
@@ -556,6 +634,7 @@
 // beat tells the others how things are, and does the leader's round.
 func (n *Node) beat() {
 	now := n.w.Now()
+	n.signs(now)
 	st := &mesh.Status{Ready: n.ready()}
 	n.eachPart(func(p *part.Part) {
 		if n.owns(p.K) == nil {
@@ -691,7 +770,7 @@
 					l := &mesh.Lend{Machine: r.Machine, To: g.Part}
 					if o := n.book.Owner(lead.PartKey(int(p.Part))); o == n.s.Name {
 						n.lendOut(l)
-					} else {
+					} else if o != "" {
 						n.w.Send(o, &mesh.Envelope{Body: &mesh.Envelope_Lend{Lend: l}})
 					}
 				}
@@ -874,6 +953,9 @@
 	case *mesh.Envelope_Status:
 		p.heard, p.status = now, b.Status
 		if b.Status.Ready {
+			if now-p.ready > 3*n.heartbeat() {
+				p.since = now
+			}
 			p.ready = now
 		}
 		n.learnSlots(b.Status)
@@ -977,7 +1059,10 @@
 // unlisted: the leader gives a machine without a record to the part with the
 // fewest of its type, then of cores.
 func (n *Node) unlisted(r *wire.Report, reply WorkerReply) {
-	if !n.leads() {
+	// Behind a cut nobody reaches the leader: the controller there records
+	// the machine, under the condition that it has no record.
+	alone := !n.leads() && n.ready() && !n.heard(n.book.Owner(lead.Leader))
+	if !n.leads() && !alone {
 		if o := n.book.Owner(lead.Leader); o != "" && o != n.s.Name {
 			reply(421, &wire.Problem{Error: "not the leader", Owner: o})
 			return
@@ -986,12 +1071,12 @@
 		return
 	}
 	reply(503, &wire.Problem{Error: "being recorded"})
-	if n.recording[r.Machine] || n.fleet.Gone(r.Machine) || len(n.recording) > 100 {
+	if n.recording[r.Machine] || !alone && n.fleet.Gone(r.Machine) || len(n.recording) > 100 {
 		return
 	}
 	n.recording[r.Machine] = true
 	key := part.MachineKey(r.Machine)
-	rec := part.MachineRecord{Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Own: !n.fleet.Rented(r.Machine)}
+	rec := part.MachineRecord{Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Own: !alone && !n.fleet.Rented(r.Machine)}
 	n.l.Write(ledger.Urgent, &ledger.Write{
 		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
 			if n.machines[r.Machine] != nil {
@@ -999,7 +1084,11 @@
 			}
 			rec.W, rec.Part = nonce, n.partFor(&rec)
 			n.machines[r.Machine] = &rec // counted for the next one
-			return []wire.Cond{n.book.Guard(lead.Leader), n.l.Stamp(key)}, []wire.Op{{Put: key, Value: wire.Encode(&rec)}}
+			conds := []wire.Cond{n.l.Stamp(key)}
+			if !alone {
+				conds = append(conds, n.book.Guard(lead.Leader))
+			}
+			return conds, []wire.Op{{Put: key, Value: wire.Encode(&rec)}}
 		},
 		Done: func(ok bool, _ uint64) {
 			delete(n.recording, r.Machine)
