--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"sort"
 	"strconv"
 	"strings"
@@ -1125,9 +1126,34 @@
 			return int(g.Part)
 		}
 	}
-	best := 0
+	// Equal shares of cores, within one machine or a quarter; among the parts
+	// that are short, one that is at home in the machine's zone, so that zones
+	// are not spread over all parts without need.
+	own, least, sum := 1.0, math.Inf(1), 0.0
+	if t := n.types[rec.Type]; t != nil {
+		own = t.Cores
+	}
+	for _, s := range shares {
+		least = min(least, s.cores)
+		sum += s.cores
+	}
+	slack := max(own, sum/float64(len(shares))/4)
+	best := -1
 	for k, s := range shares {
+		if s.cores > least+slack {
+			continue
+		}
+		if best < 0 {
+			best = k
+			continue
+		}
 		b := shares[best]
+		if home, bHome := n.atHome(k, rec.Zone), n.atHome(best, rec.Zone); home != bHome {
+			if home {
+				best = k
+			}
+			continue
+		}
 		if s.same < b.same || s.same == b.same && s.cores < b.cores {
 			best = k
 		}
@@ -1135,6 +1161,15 @@
 	return best
 }
 
+// atHome: the part's machines, or if they are of many zones its member by
+// custom, are in the zone.
+func (n *Node) atHome(k int, zone string) bool {
+	if z := n.homeZone(k); z != "" {
+		return z == zone
+	}
+	return n.zoneOf(n.names[k]) == zone
+}
+
 // Order sends a machine its orders directly. With nothing to order it still
 // brings the part's token, and the answer is a report.
 func (n *Node) Order(p *part.Part, m *part.Machine) {
