--- a/internal/part/job.go
+++ b/internal/part/job.go
@@ -105,10 +105,10 @@
 	began    time.Duration
 	queuedAt time.Duration
 
-	failedOn map[string]int // machines on which a task of it failed
-	succeeds int
-	notTo    time.Duration // start nothing before
-	why      string        // why it waits, for operators
+	failedOn map[string]int           // machines on which a task of it failed
+	avoid    map[string]time.Duration // machines not to be used before
+	notTo    time.Duration            // start nothing before
+	why      string                   // why it waits, for operators
 	score    float64
 }
 
@@ -119,7 +119,7 @@
 
 func newWork(rec *JobRecord, stamp uint64, now time.Duration) *Work {
 	return &Work{Rec: rec, Stamp: stamp, state: make([]uint8, rec.Job.Tasks), left: rec.Job.Tasks,
-		runs: map[worker.Task]*placement{}, queuedAt: now, failedOn: map[string]int{}}
+		runs: map[worker.Task]*placement{}, queuedAt: now, failedOn: map[string]int{}, avoid: map[string]time.Duration{}}
 }
 
 func (w *Work) gang() bool    { return w.Rec.Job.Shape == wire.Gang }
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -47,8 +47,9 @@
 	lent     time.Duration // being emptied for another part until then
 	lending  bool
 	draining bool
-	fullTo   time.Duration // refused a start: nothing more before
-	strikes  map[string]bool
+	fullTo   time.Duration   // refused a start: nothing more before
+	strikes  map[string]bool // jobs that failed here since one ended well
+	fails    int             // tasks, likewise
 	images   map[string]bool
 }
 
@@ -329,8 +330,7 @@
 		if run.Began > 0 {
 			p.learn(&w.Rec.Job, p.h.Now()-run.Began)
 		}
-		w.succeeds++
-		m.strikes = map[string]bool{}
+		m.strikes, m.fails = map[string]bool{}, 0
 		p.taskDone(w, run)
 		return
 	}
@@ -339,25 +339,7 @@
 	now := p.h.Now()
 	switch run.Cause {
 	case wire.Failed:
-		w.failedOn[m.ID]++
-		if w.succeeds == 0 && len(w.failedOn) >= 3 {
-			// It fails everywhere: the job's fault, not the machines'. It is
-			// tried ever more rarely until its user cancels it.
-			for id := range w.failedOn {
-				if o := p.Machines[id]; o != nil {
-					delete(o.strikes, w.Rec.Job.ID)
-				}
-			}
-			w.notTo = now + p.report()*time.Duration(min(20, len(w.failedOn)+w.failedOn[m.ID]))
-		} else {
-			m.strikes[w.Rec.Job.ID] = true
-			if w.succeeds > 0 && w.failedOn[m.ID] >= 2 {
-				m.strikes["again"] = true
-			}
-			if len(m.strikes) >= 2 && m.retiring == "" {
-				p.retire(m, "faulty")
-			}
-		}
+		p.failed(w, m, now)
 	case wire.Full, wire.Busy:
 		m.fullTo = now + p.report()
 	case wire.Unknown:
@@ -366,6 +348,32 @@
 	p.release(w, run)
 }
 
+// failed weighs an error: the machine's fault, or the job's?
+func (p *Part) failed(w *Work, m *Machine, now time.Duration) {
+	w.failedOn[m.ID]++
+	n := w.failedOn[m.ID]
+	works := w.left < w.Rec.Job.Tasks // somewhere, in any part
+	if !works && len(w.failedOn) >= 3 {
+		// It fails everywhere: the job's fault, not the machines'. It is
+		// tried ever more rarely until its user cancels it.
+		for id := range w.failedOn {
+			if o := p.Machines[id]; o != nil {
+				delete(o.strikes, w.Rec.Job.ID)
+			}
+		}
+		w.notTo = now + p.report()*time.Duration(min(20, len(w.failedOn)+n))
+		return
+	}
+	// Elsewhere first; a machine that fails all it starts would otherwise get
+	// the job's tasks again and again, being always free.
+	w.avoid[m.ID] = now + p.report()<<min(n, 6)
+	m.strikes[w.Rec.Job.ID] = true
+	m.fails++
+	if len(m.strikes) >= 2 || works && m.fails >= 3 {
+		p.retire(m, "faulty")
+	}
+}
+
 func (p *Part) report() time.Duration {
 	return world.Seconds(p.h.Settings().Deployment.Workers.Report)
 }
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -270,7 +270,7 @@
 	fits := make([]*room, 0, len(rooms))
 	total := 0
 	for _, r := range rooms {
-		if r.fits(j) && p.allowed(r.m, j) && p.backfills(r, j, now) && !p.kept(r, j) {
+		if r.fits(j) && now >= w.avoid[r.m.ID] && p.allowed(r.m, j) && p.backfills(r, j, now) && !p.kept(r, j) {
 			fits = append(fits, r)
 			total++
 		}
@@ -476,7 +476,7 @@
 	}
 	var options []option
 	for _, r := range rooms {
-		if !p.allowed(r.m, j) {
+		if !p.allowed(r.m, j) || now < w.avoid[r.m.ID] {
 			continue
 		}
 		type end struct {
@@ -586,7 +586,7 @@
 	}
 	var plans []plan
 	for _, r := range rooms {
-		if !p.allowed(r.m, j) || p.kept(r, j) {
+		if !p.allowed(r.m, j) || p.kept(r, j) || now < w.avoid[r.m.ID] {
 			continue
 		}
 		var vs []*placement
--- a/internal/standin/days_test.go
+++ b/internal/standin/days_test.go
@@ -277,3 +277,39 @@
 	})
 	told(t, s, wire.Done, "wk-7", "wk-1", "wk-6")
 }
+
+// Two zones cannot reach each other. The parts are owned in the zone of their
+// machines, which goes on working; what the other zone accepts runs as well.
+func TestZoneCut(t *testing.T) {
+	s := day(t, "zone-cut", 15, 90, func(s *Sim) {
+		var ws []*Worker
+		for i := 0; i < 6; i++ {
+			ws = append(ws, s.AddWorker("small", "b", false))
+		}
+		pairs := [][2]string{{"n1", "n0"}, {"n1", "n2"}}
+		for _, w := range ws {
+			for _, n := range []string{"n0", "n2"} {
+				pairs = append(pairs, [2]string{w.Addr(), n}, [2]string{w.Addr(), "api-" + n})
+			}
+		}
+		s.Submit(6, Spec("wk-1", wire.Array, 24, 1, 40, nil))
+		s.Submit(30, Spec("wk-2", wire.Array, 4, 1, 5, nil))
+		s.At(20, func() {
+			for _, p := range pairs {
+				s.Cut(p[0], p[1])
+			}
+		})
+		s.At(50, func() {
+			for _, p := range pairs {
+				s.Heal(p[0], p[1])
+			}
+		})
+	})
+	told(t, s, wire.Done, "wk-1", "wk-2")
+	if strings.Contains(s.Text(), "lease over") {
+		t.Error("workers of the zone that was cut off lost their leases")
+	}
+	if n := strings.Count(s.Text(), "starts wk-1/"); n != 24 {
+		t.Errorf("%d starts of 24 tasks", n)
+	}
+}
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -78,9 +78,9 @@
 	names := []string{"n0", "n1", "n2"}
 	for i, name := range names {
 		p := settings.Platform{Name: name, Zone: []string{"a", "b"}[i%2], API: name, Mesh: name}
-		for _, m := range names {
+		for k, m := range names {
 			if m != name {
-				p.Members = append(p.Members, settings.Member{Name: m, Address: m})
+				p.Members = append(p.Members, settings.Member{Name: m, Zone: []string{"a", "b"}[k%2], Address: m})
 			}
 		}
 		p.Services.State, p.Services.Cloud = "state", "cloud"
