--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,7 @@
 	Job    *wire.Job
 	Tasks  int
 	Waited float64
+	Starts float64 // seconds until it is expected to start where it waits; 0: not known
 }
 
 // Known is a machine with a record.
@@ -373,6 +374,9 @@
 				if !part.Allows(g.Job, t, z, spot) || now < f.refused[o].until {
 					continue
 				}
+				if !spot && g.Starts > 0 && g.Starts < t.Boot {
+					continue // it starts sooner where it waits
+				}
 				price := t.Price
 				if spot {
 					price = t.Spot
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -812,7 +812,7 @@
 	for _, s := range append(n.fresh(), own) {
 		for _, g := range s.Gaps {
 			if rec := n.jobs[g.Job]; rec != nil {
-				gaps = append(gaps, fleet.Gap{Job: &rec.Job, Tasks: int(g.Tasks), Waited: g.WaitedS})
+				gaps = append(gaps, fleet.Gap{Job: &rec.Job, Tasks: int(g.Tasks), Waited: g.WaitedS, Starts: g.StartsS})
 			}
 		}
 	}
--- a/internal/part/job.go
+++ b/internal/part/job.go
@@ -110,6 +110,7 @@
 	notTo    time.Duration            // start nothing before
 	why      string                   // why it waits, for operators
 	score    float64
+	starts   time.Duration // when it is expected to start, if it is reserved for
 }
 
 type placement struct {
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -533,6 +533,7 @@
 	for _, o := range best {
 		start = max(start, o.at)
 	}
+	w.starts = start
 	if p.tooLate(w, start, now) && p.preempt(w, rooms, need, now) {
 		return true
 	}
@@ -675,7 +676,12 @@
 		queued += w.idle
 		s.Add(min(w.Rec.Rank, top), dispatch.Work(&w.Rec.Job, w.idle))
 		if now >= w.notTo && len(gaps) < 64 && !w.broken && !w.halting {
-			gaps = append(gaps, &mesh.Gap{Job: w.Rec.Job.ID, Tasks: int32(w.idle), WaitedS: (now - w.queuedAt).Seconds(),
+			starts := 0.0
+			if w.starts > now {
+				starts = (w.starts - now).Seconds()
+			}
+			gaps = append(gaps, &mesh.Gap{StartsS: starts,
+				Job: w.Rec.Job.ID, Tasks: int32(w.idle), WaitedS: (now - w.queuedAt).Seconds(),
 				Part: int32(p.K), Short: int32(p.short(w, now))})
 		}
 	}
