--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -490,7 +490,7 @@
 		if o == "" && now-n.goodFor < 2*n.heartbeat() {
 			continue // others may still be starting
 		}
-		best, zone := "", n.homeZone(k)
+		best, zone := "", n.homeZone(k, home)
 		if there(name) && count[name] == 0 && (zone == "" || n.zoneOf(name) == zone) {
 			best = name
 		} else {
@@ -517,7 +517,7 @@
 	// A member without a part gets one back from a member with several; a part
 	// whose machines are mostly in one zone belongs to a member there.
 	for k := range n.names {
-		o, zone := n.book.Owner(lead.PartKey(k)), n.homeZone(k)
+		o, zone := n.book.Owner(lead.PartKey(k)), n.homeZone(k, farHome)
 		if o == "" || !there(o) || zone != "" && n.zoneOf(o) == zone {
 			continue
 		}
@@ -525,7 +525,7 @@
 			if m == o || !there(m) || now-n.since(m) < n.lease()/4 {
 				continue
 			}
-			if zone != "" && n.zoneOf(m) == zone || zone == "" && count[m] == 0 && count[o] > 1 {
+			if zone != "" && n.zoneOf(m) == zone || n.homeZone(k, home) == "" && count[m] == 0 && count[o] > 1 {
 				n.released = now
 				if o == n.s.Name {
 					n.book.Release(lead.PartKey(k))
@@ -563,18 +563,23 @@
 	return n.s.Zone
 }
 
+// A part's home is the zone with this share of its cores. A part changes hands
+// only for a larger one, so that owners do not change with every machine.
+const home, farHome = 0.6, 0.8
+
 // homeZone is the zone that has most of a part's cores, if one has by far:
 // with an owner there, a cut between zones does not part it from them.
-func (n *Node) homeZone(k int) string {
-	cores, all := map[string]float64{}, 0.0
+func (n *Node) homeZone(k int, share float64) string {
+	cores, all, count := map[string]float64{}, 0.0, 0
 	for _, m := range n.machines {
 		if t := n.types[m.Type]; t != nil && m.Part == k && m.Retire == "" {
 			cores[m.Zone] += t.Cores
 			all += t.Cores
+			count++
 		}
 	}
 	for z, c := range cores {
-		if c > 0.6*all {
+		if count > 2 && c > share*all {
 			return z
 		}
 	}
@@ -1148,8 +1153,8 @@
 			continue
 		}
 		b := shares[best]
-		if home, bHome := n.atHome(k, rec.Zone), n.atHome(best, rec.Zone); home != bHome {
-			if home {
+		if here, there := n.atHome(k, rec.Zone), n.atHome(best, rec.Zone); here != there {
+			if here {
 				best = k
 			}
 			continue
@@ -1164,7 +1169,7 @@
 // atHome: the part's machines, or if they are of many zones its member by
 // custom, are in the zone.
 func (n *Node) atHome(k int, zone string) bool {
-	if z := n.homeZone(k); z != "" {
+	if z := n.homeZone(k, home); z != "" {
 		return z == zone
 	}
 	return n.zoneOf(n.names[k]) == zone
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -139,7 +139,7 @@
 		Score:    ScoreSettings{Aging: 0.5, Short: 1000, DeadlineMin: 0, DeadlineMax: 500, K: 5, Priority: 3000},
 		Dispatch: DispatchSettings{ChunksPerPart: 1, ChunkMin: 4},
 		Rent:     RentSettings{IdleBoots: 1.5, OwnIdleBoots: 10, LateBoots: 5},
-		Grants:   GrantSettings{Life: 1, Renew: 0.08, Absent: 0.35},
+		Grants:   GrantSettings{Life: 1, Renew: 0.08, Absent: 0.5},
 	}
 }
 
--- a/internal/standin/days_test.go
+++ b/internal/standin/days_test.go
@@ -283,7 +283,7 @@
 func TestZoneCut(t *testing.T) {
 	s := day(t, "zone-cut", 15, 90, func(s *Sim) {
 		var ws []*Worker
-		for i := 0; i < 6; i++ {
+		for i := 0; i < 9; i++ {
 			ws = append(ws, s.AddWorker("small", "b", false))
 		}
 		pairs := [][2]string{{"n1", "n0"}, {"n1", "n2"}}
