--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,6 +57,7 @@
 type booting struct {
 	option
 	since time.Duration
+	found bool // up already when it was first listed, so not known to be rented
 }
 
 type option struct {
@@ -88,8 +89,10 @@
 // leader or, from the list while it booted, by an earlier one; or may have
 // been, by a rental whose answer is missing.
 func (f *Fleet) Rented(id string) bool {
-	_, ok := f.booting[id]
-	return ok || f.n > 0 || len(f.unsure) > 0
+	if b, ok := f.booting[id]; ok {
+		return !b.found
+	}
+	return f.n > 0 || len(f.unsure) > 0
 }
 
 func (f *Fleet) spend() bool {
@@ -212,11 +215,11 @@
 			f.deleted[m.ID] = 0 // to be deleted
 		case records[m.ID] == nil:
 			if _, ok := f.booting[m.ID]; !ok {
-				since := now - world.Seconds(m.Age)
+				b := booting{option{m.Type, m.Zone, m.Spot}, now - world.Seconds(m.Age), false}
 				if m.State != wire.Starting {
-					since = now // it is up and will report
+					b.since, b.found = now, true // it will report
 				}
-				f.booting[m.ID] = booting{option{m.Type, m.Zone, m.Spot}, since}
+				f.booting[m.ID] = b
 			}
 		}
 	}
@@ -450,7 +453,7 @@
 		case 200:
 			slog.Info("fleet: rented", "type", req.Type, "zone", req.Zone, "spot", req.Spot, "wanted", req.Count, "got", out.Machines)
 			for _, id := range out.Machines {
-				f.booting[id] = booting{o, at}
+				f.booting[id] = booting{o, at, false}
 			}
 			if len(out.Machines) < req.Count {
 				f.refuse(o, now)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -579,7 +579,7 @@
 		}
 	}
 	for z, c := range cores {
-		if count > 2 && c > share*all {
+		if count > 1 && c > share*all {
 			return z
 		}
 	}
