--- a/cmd/curlewspool/main.go
+++ b/cmd/curlewspool/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"os"
@@ -62,6 +63,19 @@
 			return err
 		},
 	})
+	root.AddCommand(&cobra.Command{
+		Use: "status ADDRESS", Short: "Ask a running controller what it owns and why jobs wait",
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := node.Ask(args[0])
+			if err != nil {
+				return err
+			}
+			e := json.NewEncoder(c.OutOrStdout())
+			e.SetIndent("", "  ")
+			return e.Encode(s)
+		},
+	})
 	return root
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -239,3 +240,16 @@
 	c.Set("Content-Type", "application/cbor")
 	return c.Status(a.status).Send(wire.Encode(a.body))
 }
+
+// Ask reads a running controller's state.
+func Ask(addr string) (*State, error) {
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+addr+"/debug/state", 5*time.Second)
+	if err != nil {
+		return nil, fmt.Errorf("%s does not answer: %w", addr, err)
+	}
+	s := &State{}
+	if status != 200 || wire.Decode(body, s) != nil {
+		return nil, fmt.Errorf("%s answers %d, not a controller's state", addr, status)
+	}
+	return s, nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1231,15 +1231,35 @@
 	return true
 }
 
+// State is what an operator is told of a controller.
+type State struct {
+	Host     string            `cbor:"host" json:"host"`
+	Leader   string            `cbor:"leader" json:"leader"`
+	Ready    bool              `cbor:"ready" json:"ready"`
+	Parts    []PartState       `cbor:"parts" json:"parts"`
+	Waiting  map[string]string `cbor:"waiting" json:"waiting"` // queued jobs of its parts, and why they wait
+	Jobs     int               `cbor:"jobs" json:"live_jobs"`
+	Machines int               `cbor:"machines" json:"machines"`
+	Intake   string            `cbor:"intake" json:"intake"`
+}
+
+// PartState is one part that the controller owns.
+type PartState struct {
+	Part     int    `cbor:"part" json:"part"`
+	Token    uint64 `cbor:"token" json:"token"`
+	Machines int    `cbor:"machines" json:"machines"`
+	Jobs     int    `cbor:"jobs" json:"jobs"`
+}
+
 // Describe tells an operator what this controller owns and why jobs wait.
-func (n *Node) Describe() map[string]any {
-	waiting, parts := map[string]string{}, []string{}
+func (n *Node) Describe() *State {
+	s := &State{Host: n.s.Name, Leader: n.book.Owner(lead.Leader), Ready: n.ready(), Parts: []PartState{}, Waiting: map[string]string{},
+		Jobs: len(n.jobs), Machines: len(n.machines), Intake: n.intake.String()}
 	n.eachPart(func(p *part.Part) {
-		parts = append(parts, fmt.Sprintf("%d: %d machines, %d jobs", p.K, len(p.Machines), len(p.Works)))
+		s.Parts = append(s.Parts, PartState{p.K, p.Token, len(p.Machines), len(p.Works)})
 		for id, why := range p.Waiting() {
-			waiting[id] = why
+			s.Waiting[id] = why
 		}
 	})
-	return map[string]any{"host": n.s.Name, "leader": n.book.Owner(lead.Leader), "leads": n.leads(), "ready": n.ready(),
-		"parts": parts, "waiting": waiting, "jobs": len(n.jobs), "machines": len(n.machines), "intake": n.intake.String()}
+	return s
 }
