--- a/internal/standin/days_test.go
+++ b/internal/standin/days_test.go
@@ -313,3 +313,38 @@
 		t.Errorf("%d starts of 24 tasks", n)
 	}
 }
+
+// All controllers are restarted one after the other; nothing is lost.
+func TestRollingRestart(t *testing.T) {
+	s := day(t, "rolling-restart", 16, 90, func(s *Sim) {
+		fleet(s, 6, 0)
+		s.Submit(5, Spec("wk-1", wire.Array, 24, 1, 30, nil))
+		s.Submit(14, Spec("wk-2", wire.Array, 6, 1, 5, nil))
+		for i, n := range []string{"n0", "n1", "n2"} {
+			s.At(10+8*float64(i), func() { s.Nodes[n].Crash() })
+			s.At(13+8*float64(i), func() { s.Nodes[n].Start() })
+		}
+	})
+	told(t, s, wire.Done, "wk-1", "wk-2")
+	if n := strings.Count(s.Text(), "starts wk-1/"); n != 24 {
+		t.Errorf("%d starts of 24 tasks: a restart cost work", n)
+	}
+}
+
+// A team gets its guarantee though another's work of higher rank fills all
+// machines; its limit of GPUs holds for all its jobs together.
+func TestGuaranteeAndGPUs(t *testing.T) {
+	s := day(t, "guarantee", 17, 120, func(s *Sim) {
+		s.AddWorker("big", "a", false)
+		green := func(x *wire.Submission) {
+			four := 2.0
+			x.Crew, x.GPUs = text("green"), &four
+		}
+		s.Submit(5, Spec("wk-1", wire.Array, 16, 1, 60, func(x *wire.Submission) { x.Rank = text("high") }))
+		s.Submit(15, Spec("wk-2", wire.Array, 2, 2, 10, green))
+		s.Submit(16, Spec("wk-3", wire.Array, 2, 2, 10, green))
+		s.Submit(17, Spec("wk-4", wire.Gang, 3, 2, 10, green)) // six GPUs: more than the limit
+	})
+	told(t, s, wire.Done, "wk-2", "wk-3")
+	told(t, s, "", "wk-4")
+}
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -86,7 +86,7 @@
 		p.Services.State, p.Services.Cloud = "state", "cloud"
 		d := &p.Deployment
 		d.Zones = []string{"a", "b"}
-		d.Teams = []settings.Team{{Name: "red"}, {Name: "blue", CoresMax: 3}}
+		d.Teams = []settings.Team{{Name: "red"}, {Name: "blue", CoresMax: 3}, {Name: "green", Cores: 4, GPUs: 4, GPUsMax: 4}}
 		d.Workers.Report, d.Workers.Lease, d.Workers.GangWait, d.Workers.GangPeer, d.Workers.Cancel = 2, 14, 40, 6, 34
 		d.State.RPS, d.State.WriteRPS, d.State.ValueKB, d.State.TxnOps = 200, 80, 16, 12
 		d.Cloud.RPS, d.Cloud.ListLag = 4, 5
