--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -303,12 +305,7 @@
 		bins = append(bins, b)
 		return b
 	}
-	ids := make([]string, 0, len(f.booting))
-	for id := range f.booting {
-		ids = append(ids, id)
-	}
-	sort.Strings(ids)
-	for _, id := range ids {
+	for _, id := range slices.Sorted(maps.Keys(f.booting)) {
 		add(f.booting[id].option)
 	}
 	for _, u := range f.unsure {
@@ -364,12 +361,7 @@
 func (f *Fleet) cheapest(g Gap, n int, all demand, now time.Duration) (option, bool) {
 	var best option
 	cost := math.Inf(1)
-	names := make([]string, 0, len(f.types))
-	for name := range f.types {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(f.types)) {
 		t := f.types[name]
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -6,7 +6,8 @@
 import (
 	"fmt"
 	"log/slog"
-	"sort"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -116,12 +117,7 @@
 
 // DropAll forgets everything held: the grant is over.
 func (b *Book) DropAll() {
-	keys := make([]string, 0, len(b.held))
-	for key := range b.held {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	for _, key := range keys {
+	for _, key := range slices.Sorted(maps.Keys(b.held)) {
 		b.lose(key, "the grant is over")
 	}
 }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -7,8 +7,9 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
 	"net/url"
-	"sort"
+	"slices"
 	"strings"
 	"time"
 
@@ -161,12 +162,7 @@
 		}
 		l.absorb(out)
 		l.loaded, l.seenOK = true, sent
-		keys := make([]string, 0, len(l.cache))
-		for k := range l.cache {
-			keys = append(keys, k)
-		}
-		sort.Strings(keys)
-		for _, k := range keys {
+		for _, k := range slices.Sorted(maps.Keys(l.cache)) {
 			l.change(k, l.cache[k].Value)
 		}
 		l.change("", nil)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,8 +6,9 @@
 import (
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
-	"sort"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -363,14 +364,7 @@
 	p.Tick()
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Strings(keys)
-	return keys
-}
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
 func (n *Node) lost(key string) {
 	if key == lead.Leader {
@@ -521,11 +515,12 @@
 		if o == "" || !there(o) || zone != "" && n.zoneOf(o) == zone {
 			continue
 		}
+		homeless := n.homeZone(k, home) == ""
 		for _, m := range n.names {
 			if m == o || !there(m) || now-n.since(m) < n.lease()/4 {
 				continue
 			}
-			if zone != "" && n.zoneOf(m) == zone || n.homeZone(k, home) == "" && count[m] == 0 && count[o] > 1 {
+			if zone != "" && n.zoneOf(m) == zone || homeless && count[m] == 0 && count[o] > 1 {
 				n.released = now
 				if o == n.s.Name {
 					n.book.Release(lead.PartKey(k))
@@ -654,32 +649,33 @@
 	n.status = st
 	if n.leads() {
 		n.assign()
-		n.rent(now, st)
-		n.lend(st)
+		n.rent()
+		n.lend()
 	}
-	n.moves(st)
+	n.moves()
 	for _, name := range sortedKeys(n.peers) { // last: moves take from the free room
 		n.w.Send(name, &mesh.Envelope{Body: &mesh.Envelope_Status{Status: st}})
 	}
 	n.w.After(n.heartbeat(), n.beat)
 }
 
-func (n *Node) fresh() []*mesh.Status {
+// statuses are what the members that are heard told last, and this controller's.
+func (n *Node) statuses() []*mesh.Status {
 	var out []*mesh.Status
 	for _, name := range sortedKeys(n.peers) {
-		if p := n.peers[name]; p.status != nil && n.w.Now()-p.heard < 3*n.heartbeat() {
+		if p := n.peers[name]; p.status != nil && n.heard(name) {
 			out = append(out, p.status)
 		}
 	}
+	if n.status != nil {
+		out = append(out, n.status)
+	}
 	return out
 }
 
 // Wanted: some queued work, of whatever part, could run on the machine.
 func (n *Node) Wanted(m *part.Machine) bool {
-	for _, s := range append(n.fresh(), n.status) {
-		if s == nil {
-			continue
-		}
+	for _, s := range n.statuses() {
 		for _, g := range s.Gaps {
 			if rec := n.jobs[g.Job]; rec != nil && part.Allows(&rec.Job, n.types[m.Type], m.Zone, m.Spot) {
 				return true
@@ -712,10 +708,7 @@
 
 // Spare: an empty machine of the same type and kind with a lower name exists.
 func (n *Node) Spare(m *part.Machine) bool {
-	for _, s := range append(n.fresh(), n.status) {
-		if s == nil {
-			continue
-		}
+	for _, s := range n.statuses() {
 		for _, p := range s.Parts {
 			for _, r := range p.Free {
 				if r.Empty && r.Type == m.Type && r.Spot == m.Spot && r.Machine < m.ID {
@@ -729,8 +722,8 @@
 
 // lend finds machines in other parts for gangs that their own part is too
 // small for: such a gang is in effect the head of all parts.
-func (n *Node) lend(own *mesh.Status) {
-	statuses := append(n.fresh(), own)
+func (n *Node) lend() {
+	statuses := n.statuses()
 	n.short = nil
 	for _, s := range statuses {
 		for _, g := range s.Gaps {
@@ -797,9 +790,9 @@
 	}
 }
 
-func (n *Node) moves(own *mesh.Status) {
+func (n *Node) moves() {
 	var all []*mesh.PartStatus
-	for _, s := range append(n.fresh(), own) {
+	for _, s := range n.statuses() {
 		all = append(all, s.Parts...)
 	}
 	n.eachPart(func(p *part.Part) {
@@ -809,12 +802,12 @@
 	})
 }
 
-func (n *Node) rent(now time.Duration, own *mesh.Status) {
+func (n *Node) rent() {
 	if len(n.types) == 0 {
 		return
 	}
 	var gaps []fleet.Gap
-	for _, s := range append(n.fresh(), own) {
+	for _, s := range n.statuses() {
 		for _, g := range s.Gaps {
 			if rec := n.jobs[g.Job]; rec != nil {
 				gaps = append(gaps, fleet.Gap{Job: &rec.Job, Tasks: int(g.Tasks), Waited: g.WaitedS, Starts: g.StartsS})
@@ -917,7 +910,7 @@
 	// Without a leader, or with a slow one, this controller chooses by what all
 	// owners told it last, so that users need not wait for an election.
 	alone := func() { done(n.choose(j)) }
-	if o == "" || n.peers[o] == nil || n.w.Now()-n.peers[o].heard > 3*n.heartbeat() {
+	if o == "" || n.peers[o] == nil || !n.heard(o) {
 		alone()
 		return
 	}
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -779,6 +779,9 @@
 	if m.rec.Own {
 		keep = world.Seconds(t.Boot * p.h.Settings().Rent.OwnIdleBoots)
 	}
+	if now-m.idleAt < keep {
+		return false
+	}
 	for _, s := range p.h.Large() {
 		// Few machines take such jobs: one that does is kept as long as the
 		// next may be expected.
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -97,19 +97,16 @@
 }
 
 // Score is the weighted priority of a queued job (DESIGN; paper, section 4);
-// short is the shortest queued estimate over its own.
+// deadlines are those of the job, see Part.deadlines; short is the shortest
+// queued estimate over its own.
 // The weight of the user's priority is ours: PROTOCOL lets a higher one
-// preempt, so it must also be ahead in the queue. Ours, too: a job without a
-// deadline has those that the objectives set for its class; the first that it
-// can still meet counts.
+// preempt, so it must also be ahead in the queue. Ours, too: of several
+// deadlines the first that the job can still meet counts.
 func Score(s *settings.ScoreSettings, j *wire.Job, deadlines []float64, age, short, estimate float64) float64 {
 	v := s.Aging*age + s.Priority*float64(j.Rank)
 	if estimate > 0 {
 		v += s.Short * short
 	}
-	if j.Deadline > 0 {
-		deadlines = []float64{j.Deadline}
-	}
 	ends := age + estimate
 	for _, due := range deadlines {
 		if ends > due {
@@ -123,6 +120,15 @@
 	return v + s.DeadlineMin
 }
 
+// deadlines of a job, in rising order: a job without one has those that the
+// objectives set for its class (ours).
+func (p *Part) deadlines(j *wire.Job) []float64 {
+	if j.Deadline > 0 {
+		return []float64{j.Deadline}
+	}
+	return p.h.Settings().Deadlines(j.Class)
+}
+
 // length is the estimate that the short-job term compares: of an array, what
 // is queued of it here, since its user waits for the last task (ours).
 func (w *Work) length() float64 {
@@ -166,7 +172,7 @@
 	wall := p.h.Wall()
 	for _, w := range q {
 		j := &w.Rec.Job
-		w.score = Score(s, j, p.h.Settings().Deadlines(j.Class), wall-w.Rec.At, shortest/max(w.length(), 1e-9), j.Estimate)
+		w.score = Score(s, j, p.deadlines(j), wall-w.Rec.At, shortest/max(w.length(), 1e-9), j.Estimate)
 		if p.guaranteed(j.Team) {
 			w.score += 1e9
 		}
@@ -426,7 +432,7 @@
 		}
 		after := *r
 		after.take(j)
-		if !after.fits(l) && r.m.largeFits(l, r) {
+		if !after.fits(l) && r.largeFits(l) {
 			return true
 		}
 	}
@@ -435,7 +441,7 @@
 
 // largeFits tells whether l could start now, or could once what it may stop
 // without loss is stopped.
-func (m *Machine) largeFits(l *wire.Job, r *room) bool {
+func (r *room) largeFits(l *wire.Job) bool {
 	free := *r
 	free.cores += r.softC
 	free.gpus += r.softG
@@ -561,11 +567,7 @@
 			}
 		}
 	}
-	due := p.h.Settings().Deadlines(j.Class)
-	if j.Deadline > 0 {
-		due = []float64{j.Deadline}
-	}
-	for _, d := range due {
+	for _, d := range p.deadlines(j) {
 		expected = true
 		if wait+j.Estimate > d {
 			return true
@@ -719,14 +721,20 @@
 		all += k
 	}
 	if j.OneZone {
-		all = 0
-		for _, k := range zone {
-			all = max(all, k)
-		}
+		all = largest(zone)
 	}
 	return max(0, j.Tasks-all)
 }
 
+// largest is what the best zone has room for.
+func largest(zone map[string]int) int {
+	n := 0
+	for _, k := range zone {
+		n = max(n, k)
+	}
+	return n
+}
+
 // Lend hands a machine over as soon as nothing is, or may be, on it.
 func (p *Part) Lend(id string, to int) {
 	now := p.h.Now()
@@ -823,10 +831,7 @@
 		zone[f.Zone] += k
 	}
 	if j.OneZone {
-		fit = 0
-		for _, k := range zone {
-			fit = max(fit, k)
-		}
+		fit = largest(zone)
 	}
 	want := n
 	if !all {
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/url"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -219,12 +221,6 @@
 	}
 }
 
-// Value decodes a key's value; false if there is none.
-func (st *State) Value(key string, into any) bool {
-	e, ok := st.data[key]
-	return ok && wire.Decode(e.Value, into) == nil
-}
-
 // Outage stops the service for a while.
 func (st *State) Outage(d time.Duration) {
 	st.s.Trace("state service down")
@@ -232,12 +228,7 @@
 	st.s.after(d, func() {
 		st.s.Trace("state service back")
 		st.Down = false
-		ids := make([]uint64, 0, len(st.grants))
-		for id := range st.grants {
-			ids = append(ids, id)
-		}
-		sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-		for _, id := range ids {
+		for _, id := range slices.Sorted(maps.Keys(st.grants)) {
 			st.touch(id)
 		}
 		st.wake()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -2,7 +2,8 @@
 
 import (
 	"fmt"
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"curlewspool/internal/wire"
@@ -70,12 +71,7 @@
 func (w *Worker) Addr() string { return w.addr }
 
 func (s *Sim) workerIDs() []string {
-	var out []string
-	for id := range s.Workers {
-		out = append(out, id)
-	}
-	sort.Strings(out)
-	return out
+	return slices.Sorted(maps.Keys(s.Workers))
 }
 
 func (w *Worker) vanish() {
