--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -111,8 +111,10 @@
 
 const timeout = 4 * time.Second
 
-// Tick rents, lists and deletes. forget is told machines that are surely gone.
-func (f *Fleet) Tick(types map[string]*wire.MachineType, known []Known, gaps []Gap, forget func(ids []string)) {
+// Tick rents, lists and deletes. retiring are the machines that their owners
+// want deleted; found is told each list, forget machines that are surely gone.
+func (f *Fleet) Tick(types map[string]*wire.MachineType, known []Known, retiring map[string]bool, gaps []Gap,
+	found func([]wire.ListedMachine), forget func(ids []string)) {
 	f.types = types
 	now := f.w.Now()
 	records := map[string]*part.MachineRecord{}
@@ -120,20 +122,27 @@
 		records[k.ID] = k.Rec
 		delete(f.booting, k.ID)
 	}
-	f.remove(records, now, forget)
-	f.list(records, now)
-	f.rent(known, gaps, now)
+	f.remove(records, retiring, now, forget)
+	f.list(records, now, found)
+	f.rent(known, retiring, gaps, now)
 }
 
 // --- deletions ---
 
-func (f *Fleet) remove(records map[string]*part.MachineRecord, now time.Duration, forget func([]string)) {
+func (f *Fleet) remove(records map[string]*part.MachineRecord, retiring map[string]bool, now time.Duration, forget func([]string)) {
+	var gone []string // deleted, but the record is still there
+	for id := range records {
+		if f.Gone(id) {
+			gone = append(gone, id)
+		}
+	}
+	forget(gone)
 	if f.deleting {
 		return
 	}
 	var ids []string
-	for id, r := range records {
-		if r.Retire != "" {
+	for id := range retiring {
+		if records[id] != nil && !f.Gone(id) {
 			ids = append(ids, id)
 		}
 	}
@@ -173,17 +182,17 @@
 
 // --- the cloud's list ---
 
-func (f *Fleet) list(records map[string]*part.MachineRecord, now time.Duration) {
+func (f *Fleet) list(records map[string]*part.MachineRecord, now time.Duration, found func([]wire.ListedMachine)) {
 	every := world.Seconds(max(f.s.Deployment.Cloud.ListLag, 10/f.s.Deployment.Cloud.RPS))
 	if f.listing || now-f.listAt < every || !f.spend() {
 		return
 	}
 	f.listing, f.listAt = true, now
 	f.page = f.page[:0]
-	f.next("", records)
+	f.next("", records, found)
 }
 
-func (f *Fleet) next(since string, records map[string]*part.MachineRecord) {
+func (f *Fleet) next(since string, records map[string]*part.MachineRecord, found func([]wire.ListedMachine)) {
 	out := &wire.MachineList{}
 	path := "/rentals?limit=500"
 	if since != "" {
@@ -196,11 +205,12 @@
 		}
 		f.page = append(f.page, out.Machines...)
 		if out.More && len(out.Machines) > 0 {
-			f.w.After(world.Seconds(1/f.s.Deployment.Cloud.RPS), func() { f.next(out.Machines[len(out.Machines)-1].ID, records) })
+			f.w.After(world.Seconds(1/f.s.Deployment.Cloud.RPS), func() { f.next(out.Machines[len(out.Machines)-1].ID, records, found) })
 			return
 		}
 		f.listing = false
 		f.listed(records)
+		found(f.page)
 	})
 }
 
@@ -272,7 +282,7 @@
 	return k
 }
 
-func (f *Fleet) rent(known []Known, gaps []Gap, now time.Duration) {
+func (f *Fleet) rent(known []Known, retiring map[string]bool, gaps []Gap, now time.Duration) {
 	// A rental without an answer is asked again under its name, so that what
 	// it rented is known.
 	for len(f.unsure) > 0 && f.renting < 2 && f.spend() {
@@ -313,7 +323,7 @@
 			add(option{u.req.Type, u.req.Zone, u.req.Spot})
 		}
 	}
-	all := f.demand(known, gaps)
+	all := f.demand(known, retiring, gaps)
 	want := map[option]int{}
 	var order []option
 	for _, g := range gaps {
@@ -401,7 +411,7 @@
 	capacity float64 // cores of machines, there or booting, that spot jobs use
 }
 
-func (f *Fleet) demand(known []Known, gaps []Gap) demand {
+func (f *Fleet) demand(known []Known, retiring map[string]bool, gaps []Gap) demand {
 	var d demand
 	for _, g := range gaps {
 		if !g.Job.Spot {
@@ -412,7 +422,7 @@
 		d.work += c * max(g.Job.Estimate, 1)
 	}
 	for _, k := range known {
-		if t := f.types[k.Rec.Type]; t != nil && k.Rec.Retire == "" {
+		if t := f.types[k.Rec.Type]; t != nil && !retiring[k.ID] {
 			d.capacity += t.Cores
 		}
 	}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -82,6 +82,7 @@
 	// true gives the write up (it was not applied).
 	Refused func() bool
 	tries   int
+	urgency int
 }
 
 // Urgency of a write.
@@ -367,6 +368,7 @@
 
 // Write queues a transaction.
 func (l *Ledger) Write(urgency int, w *Write) {
+	w.urgency = urgency
 	l.queue[urgency] = append(l.queue[urgency], w)
 	// Sent after the current batch of commands, so that what belongs
 	// together is committed together.
@@ -380,8 +382,8 @@
 	writes []*Write
 	nonce  string
 	txn    *wire.Txn
-	parts  [][2]int // each write's range of conditions
-	doubt  bool     // an earlier send may have been, or yet be, applied
+	conds  [][]wire.Cond // each write's
+	doubt  bool          // an earlier send may have been, or yet be, applied
 	since  time.Duration
 }
 
@@ -423,8 +425,11 @@
 	size := 0
 	for u := range l.queue {
 		floor := []float64{-l.rate(), 0, 0.25 * l.rate()}[u]
+		// Done may queue another write: it must not be lost with the old list.
 		var left []*Write
-		for i, w := range l.queue[u] {
+		queued := l.queue[u]
+		l.queue[u] = nil
+		for i, w := range queued {
 			if len(b.writes) > 0 && w.tries > 0 { // a write that failed in company goes alone
 				left = append(left, w)
 				continue
@@ -452,12 +457,11 @@
 			}
 			if clash || len(b.txn.Apply)+len(ops) > l.lim.TxnOps || len(b.txn.When)+len(conds) > 4*l.lim.TxnOps ||
 				size+sz > 60<<10 || l.budget-float64(len(ops)) < floor && !(u == Urgent && len(b.writes) == 0 && l.budget > -l.rate()) {
-				left = append(left, l.queue[u][i:]...)
+				left = append(left, queued[i:]...)
 				break
 			}
 			size += sz
 			l.budget -= float64(len(ops))
-			at := len(b.txn.When)
 			for _, c := range conds {
 				if _, ok := seen[c.Key]; !ok {
 					b.txn.When = append(b.txn.When, c)
@@ -467,16 +471,16 @@
 			for _, o := range ops {
 				seen["w:"+o.Put+o.Delete] = 1
 			}
-			b.parts = append(b.parts, [2]int{at, len(b.txn.When)})
+			b.conds = append(b.conds, conds)
 			b.txn.Apply = append(b.txn.Apply, ops...)
 			b.writes = append(b.writes, w)
 			if w.tries > 0 {
-				left = append(left, l.queue[u][i+1:]...)
-				l.queue[u] = left
+				left = append(left, queued[i+1:]...)
+				l.queue[u] = append(left, l.queue[u]...)
 				return b
 			}
 		}
-		l.queue[u] = left
+		l.queue[u] = append(left, l.queue[u]...)
 		if len(left) > 0 && len(b.writes) > 0 {
 			break
 		}
@@ -499,7 +503,7 @@
 				l.settle(b)
 				return
 			}
-			l.conflict(b)
+			l.conflict(b, out.Failed)
 		case 400:
 			if b.doubt && !strings.Contains(out.Error, "lease") && !strings.Contains(out.Error, "permit") {
 				l.settle(b)
@@ -509,7 +513,7 @@
 			if out.Error != "" && strings.Contains(out.Error, "no such") {
 				l.Grant.lost()
 			}
-			l.conflict(b)
+			l.conflict(b, nil)
 		case 429, 503: // not executed
 			if b.doubt {
 				l.w.After(l.retry(), func() { l.send(b) })
@@ -543,7 +547,7 @@
 		}
 	}
 	if key == "" {
-		l.conflict(b)
+		l.conflict(b, nil)
 		return
 	}
 	l.Fetch(key, func(status int, value []byte, stamp uint64) {
@@ -554,7 +558,7 @@
 		case status == 200 && wire.Decode(value, &v) == nil && v.W == b.nonce:
 			l.applied(b, stamp)
 		case status == 200 || status == 404:
-			l.conflict(b)
+			l.conflict(b, nil)
 		default:
 			l.w.After(l.retry(), func() { l.settle(b) })
 		}
@@ -587,13 +591,19 @@
 }
 
 // conflict: none of the batch was applied. A lone write is told so, once the
-// cache shows why; others are tried again one by one.
-func (l *Ledger) conflict(b *batch) {
+// cache shows why. Of several, those whose conditions failed are tried again
+// one by one; their company goes back to where it waited. (One stale write
+// among twenty would otherwise cost twenty transactions.)
+func (l *Ledger) conflict(b *batch, failed []string) {
 	l.inFlight--
 	if len(b.writes) > 1 {
 		for i := len(b.writes) - 1; i >= 0; i-- {
-			b.writes[i].tries++
-			l.queue[Urgent] = append([]*Write{b.writes[i]}, l.queue[Urgent]...)
+			w, u := b.writes[i], b.writes[i].urgency
+			if len(failed) == 0 || slices.ContainsFunc(b.conds[i], func(c wire.Cond) bool { return slices.Contains(failed, c.Key) }) {
+				w.tries++
+				u = Urgent
+			}
+			l.queue[u] = append([]*Write{w}, l.queue[u]...)
 		}
 		l.pump()
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"log/slog"
 	"maps"
-	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -41,22 +40,25 @@
 	machines map[string]*part.MachineRecord
 	parts    map[int]*part.Part
 	large    map[string]part.Large
-	cleaning map[string]bool // orphaned progress being deleted
+	cleaning map[string]bool     // orphaned progress being deleted
+	orphans  map[string]bool     // jobs that are over and have progress
+	rosters  map[string][]string // machines under each key
+	enlist   enlist
 
 	peers   map[string]*peer
 	started time.Duration
 	goodFor time.Duration // since when this controller has been ready
 
 	// leader
-	ranker    *dispatch.Ranker
-	fleet     *fleet.Fleet
-	slots     []dispatch.Slots
-	short     []*mesh.Gap // gangs that are larger than their part
-	status    *mesh.Status
-	recording map[string]bool
-	released  time.Duration
-	signing   bool
-	signed    time.Duration
+	ranker   *dispatch.Ranker
+	fleet    *fleet.Fleet
+	slots    []dispatch.Slots
+	short    []*mesh.Gap // gangs that are larger than their part
+	status   *mesh.Status
+	released time.Duration
+	signing  bool
+	signed   time.Duration
+	pushing  int // direct orders under way
 
 	asks   map[uint64]func(*mesh.Answer)
 	askID  uint64
@@ -79,7 +81,7 @@
 	d := &s.Deployment
 	n := &Node{w: w, s: s, names: s.Names(), types: map[string]*wire.MachineType{}, jobs: map[string]*part.JobRecord{},
 		progress: map[string]map[int]*part.Progress{}, machines: map[string]*part.MachineRecord{}, parts: map[int]*part.Part{},
-		cleaning: map[string]bool{}, large: map[string]part.Large{}, peers: map[string]*peer{}, recording: map[string]bool{},
+		cleaning: map[string]bool{}, orphans: map[string]bool{}, rosters: map[string][]string{}, enlist: newEnlist(), large: map[string]part.Large{}, peers: map[string]*peer{},
 		asks: map[uint64]func(*mesh.Answer){}, ranker: &dispatch.Ranker{Max: s.Rank.Max, Window: s.Rank.Window}}
 	for _, m := range s.Members {
 		n.peers[m.Name] = &peer{heard: -time.Hour, ready: -time.Hour, sign: -time.Hour}
@@ -216,6 +218,9 @@
 		id := key[4:]
 		if value == nil {
 			delete(n.jobs, id)
+			if n.progress[id] != nil {
+				n.orphans[id] = true
+			}
 			n.eachPart(func(p *part.Part) { p.OnJob(id, nil, 0) })
 			return
 		}
@@ -239,6 +244,7 @@
 			delete(n.progress[id], k)
 			if len(n.progress[id]) == 0 {
 				delete(n.progress, id)
+				delete(n.orphans, id)
 			}
 			return
 		}
@@ -251,21 +257,12 @@
 			n.progress[id] = map[int]*part.Progress{}
 		}
 		n.progress[id][k] = p
-		n.eachPart(func(o *part.Part) { o.OnProgress(id, p) })
-	case strings.HasPrefix(key, "a/m/"):
-		id := key[4:]
-		if value == nil {
-			delete(n.machines, id)
-			n.eachPart(func(p *part.Part) { p.OnMachine(id, nil) })
-			return
-		}
-		rec := &part.MachineRecord{}
-		if err := wire.Decode(value, rec); err != nil {
-			slog.Error("node: bad machine record", "key", key, "err", err)
-			return
+		if n.l.Loaded() && n.jobs[id] == nil {
+			n.orphans[id] = true
 		}
-		n.machines[id] = rec
-		n.eachPart(func(p *part.Part) { p.OnMachine(id, rec) })
+		n.eachPart(func(o *part.Part) { o.OnProgress(id, k, p) })
+	case strings.HasPrefix(key, rosterRoot):
+		n.rosterChanged(key, value)
 	}
 }
 
@@ -275,12 +272,13 @@
 	n.book.DropAll()
 	n.book.Forget()
 	n.jobs, n.progress, n.machines = map[string]*part.JobRecord{}, map[string]map[int]*part.Progress{}, map[string]*part.MachineRecord{}
+	n.orphans, n.rosters = map[string]bool{}, map[string][]string{}
 }
 
 func (n *Node) feedProgress(p *part.Part, id string) {
 	for k := range n.names {
 		if pr := n.progress[id][k]; pr != nil {
-			p.OnProgress(id, pr)
+			p.OnProgress(id, k, pr)
 		}
 	}
 }
@@ -567,7 +565,7 @@
 func (n *Node) homeZone(k int, share float64) string {
 	cores, all, count := map[string]float64{}, 0.0, 0
 	for _, m := range n.machines {
-		if t := n.types[m.Type]; t != nil && m.Part == k && m.Retire == "" {
+		if t := n.types[m.Type]; t != nil && m.Part == k {
 			cores[m.Zone] += t.Cores
 			all += t.Cores
 			count++
@@ -610,8 +608,15 @@
 
 // clean deletes progress of jobs that are over.
 func (n *Node) clean(p *part.Part) {
-	for _, id := range sortedKeys(n.progress) {
-		if n.jobs[id] != nil || n.progress[id][p.K] == nil || len(n.cleaning) >= 8 {
+	if len(n.orphans) == 0 {
+		return
+	}
+	for _, id := range sortedKeys(n.orphans) {
+		if n.jobs[id] != nil || n.progress[id] == nil {
+			delete(n.orphans, id)
+			continue
+		}
+		if n.progress[id][p.K] == nil || len(n.cleaning) >= 8 {
 			continue
 		}
 		key := part.ProgressKey(id, p.K)
@@ -746,7 +751,7 @@
 	if j.OneZone {
 		count := map[string]int{}
 		for _, id := range sortedKeys(n.machines) {
-			if m := n.machines[id]; m.Retire == "" && part.Allows(j, n.types[m.Type], m.Zone, m.Spot) {
+			if m := n.machines[id]; part.Allows(j, n.types[m.Type], m.Zone, m.Spot) {
 				count[m.Zone] += n.types[m.Type].Fits(j, j.Tasks)
 			}
 		}
@@ -818,26 +823,16 @@
 	for _, id := range sortedKeys(n.machines) {
 		known = append(known, fleet.Known{ID: id, Rec: n.machines[id]})
 	}
-	n.fleet.Tick(n.types, known, gaps, n.forget)
-}
-
-// forget deletes the records of machines that the cloud has deleted.
-func (n *Node) forget(ids []string) {
-	for _, id := range ids {
-		key := part.MachineKey(id)
-		if n.machines[id] == nil {
-			continue
+	retiring := map[string]bool{}
+	for _, s := range n.statuses() {
+		for _, p := range s.Parts {
+			for _, id := range p.Retiring {
+				retiring[id] = n.machines[id] != nil
+			}
 		}
-		n.l.Write(ledger.Soon, &ledger.Write{
-			Build: func(string) ([]wire.Cond, []wire.Op) {
-				if _, ok := n.l.Get(key); !ok {
-					return nil, nil
-				}
-				return []wire.Cond{n.book.Guard(lead.Leader), n.l.Stamp(key)}, []wire.Op{{Delete: key}}
-			},
-			Done: func(bool, uint64) {}, // a record that stays is deleted at a later round
-		})
 	}
+	n.fleet.Tick(n.types, known, retiring, gaps, n.found, n.forget)
+	n.enrol()
 }
 
 // --- the leader's dispatch ---
@@ -880,18 +875,7 @@
 		}
 		return rank, chunk, parts
 	}
-	eligible := make([]bool, np)
-	any := false
-	for _, m := range n.machines {
-		if m.Retire == "" && m.Part >= 0 && m.Part < np && part.Allows(j, n.types[m.Type], m.Zone, m.Spot) {
-			eligible[m.Part], any = true, true
-		}
-	}
-	if !any {
-		for k := range eligible {
-			eligible[k] = true
-		}
-	}
+	eligible := n.eligible(j)
 	for c := range parts {
 		k := dispatch.Choose(n.slots, eligible, rank)
 		parts[c] = k
@@ -900,6 +884,39 @@
 	return rank, chunk, parts
 }
 
+// eligible are the parts whose machines, were they empty, could hold the job;
+// a gang as a whole. If there is none, those that hold most of it, or all.
+func (n *Node) eligible(j *wire.Job) []bool {
+	type place struct {
+		part int
+		zone string
+	}
+	need, room := 1, map[place]int{}
+	if j.Shape == wire.Gang {
+		need = j.Tasks
+	}
+	for _, m := range n.machines {
+		if t := n.types[m.Type]; m.Part >= 0 && m.Part < len(n.names) && part.Allows(j, t, m.Zone, m.Spot) {
+			at := place{m.Part, ""}
+			if j.OneZone {
+				at.zone = m.Zone
+			}
+			room[at] += t.Fits(j, need)
+		}
+	}
+	holds := make([]int, len(n.names))
+	best := 0
+	for at, k := range room {
+		holds[at.part] = max(holds[at.part], min(k, need))
+		best = max(best, holds[at.part])
+	}
+	out := make([]bool, len(holds))
+	for k, h := range holds {
+		out[k] = h == best
+	}
+	return out
+}
+
 // Plan asks the leader where a submission goes.
 func (n *Node) Plan(j *wire.Job, done func(rank, chunk int, parts []int)) {
 	if n.leads() {
@@ -1043,7 +1060,7 @@
 		reply(503, &wire.Problem{Error: "outdated report"})
 		return
 	}
-	p.Settle()
+	p.Settle(m)
 	m.Answered(n.w.Now())
 	reply(200, &wire.Commands{Token: m.Token, Orders: notNil(m.Orders(false, n.w.Now()))})
 }
@@ -1055,110 +1072,6 @@
 	return c
 }
 
-// unlisted: the leader gives a machine without a record to the part with the
-// fewest of its type, then of cores.
-func (n *Node) unlisted(r *wire.Report, reply WorkerReply) {
-	// Behind a cut nobody reaches the leader: the controller there records
-	// the machine, under the condition that it has no record.
-	alone := !n.leads() && n.ready() && !n.heard(n.book.Owner(lead.Leader))
-	if !n.leads() && !alone {
-		if o := n.book.Owner(lead.Leader); o != "" && o != n.s.Name {
-			reply(421, &wire.Problem{Error: "not the leader", Owner: o})
-			return
-		}
-		reply(503, &wire.Problem{Error: "no leader"})
-		return
-	}
-	reply(503, &wire.Problem{Error: "being recorded"})
-	if n.recording[r.Machine] || !alone && n.fleet.Gone(r.Machine) || len(n.recording) > 100 {
-		return
-	}
-	n.recording[r.Machine] = true
-	key := part.MachineKey(r.Machine)
-	rec := part.MachineRecord{Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Own: !alone && !n.fleet.Rented(r.Machine)}
-	n.l.Write(ledger.Urgent, &ledger.Write{
-		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
-			if n.machines[r.Machine] != nil {
-				return nil, nil
-			}
-			rec.W, rec.Part = nonce, n.partFor(&rec)
-			n.machines[r.Machine] = &rec // counted for the next one
-			conds := []wire.Cond{n.l.Stamp(key)}
-			if !alone {
-				conds = append(conds, n.book.Guard(lead.Leader))
-			}
-			return conds, []wire.Op{{Put: key, Value: wire.Encode(&rec)}}
-		},
-		Done: func(ok bool, _ uint64) {
-			delete(n.recording, r.Machine)
-			if _, there := n.l.Get(key); !there {
-				delete(n.machines, r.Machine)
-			}
-			if ok {
-				slog.Info("node: machine", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "part", rec.Part)
-				n.News("")
-			}
-		},
-	})
-}
-
-func (n *Node) partFor(rec *part.MachineRecord) int {
-	type share struct {
-		same  int
-		cores float64
-	}
-	shares := make([]share, len(n.names))
-	for _, m := range n.machines {
-		if m.Part < 0 || m.Part >= len(shares) || m.Retire != "" {
-			continue
-		}
-		if m.Type == rec.Type && m.Spot == rec.Spot {
-			shares[m.Part].same++
-		}
-		if t := n.types[m.Type]; t != nil {
-			shares[m.Part].cores += t.Cores
-		}
-	}
-	for _, g := range n.short {
-		if j := n.jobs[g.Job]; j != nil && part.Allows(&j.Job, n.types[rec.Type], rec.Zone, rec.Spot) {
-			return int(g.Part)
-		}
-	}
-	// Equal shares of cores, within one machine or a quarter; among the parts
-	// that are short, one that is at home in the machine's zone, so that zones
-	// are not spread over all parts without need.
-	own, least, sum := 1.0, math.Inf(1), 0.0
-	if t := n.types[rec.Type]; t != nil {
-		own = t.Cores
-	}
-	for _, s := range shares {
-		least = min(least, s.cores)
-		sum += s.cores
-	}
-	slack := max(own, sum/float64(len(shares))/4)
-	best := -1
-	for k, s := range shares {
-		if s.cores > least+slack {
-			continue
-		}
-		if best < 0 {
-			best = k
-			continue
-		}
-		b := shares[best]
-		if here, there := n.atHome(k, rec.Zone), n.atHome(best, rec.Zone); here != there {
-			if here {
-				best = k
-			}
-			continue
-		}
-		if s.same < b.same || s.same == b.same && s.cores < b.cores {
-			best = k
-		}
-	}
-	return best
-}
-
 // atHome: the part's machines, or if they are of many zones its member by
 // custom, are in the zone.
 func (n *Node) atHome(k int, zone string) bool {
@@ -1171,14 +1084,16 @@
 // Order sends a machine its orders directly. With nothing to order it still
 // brings the part's token, and the answer is a report.
 func (n *Node) Order(p *part.Part, m *part.Machine) {
-	if n.owns(p.K) != p || m.Ordered() || m.Address == "" || !n.MayLaunch() {
-		return
+	if n.owns(p.K) != p || m.Ordered() || m.Address == "" || !n.MayLaunch() || n.pushing >= n.s.Deployment.Limits.Sockets/8 {
+		return // the next tick presses again
 	}
+	n.pushing++
 	m.OrdersSent()
 	body := &wire.Commands{Token: m.Token, Session: max(m.Session, 1), Orders: notNil(m.Orders(true, n.w.Now()))}
 	out := &wire.Report{}
 	limit := min(2*time.Second, world.Seconds(n.s.Deployment.Workers.Report))
 	n.w.Call(m.Address, "POST", "/orders", body, out, limit, func(status int) {
+		n.pushing--
 		if status != 200 && status != 409 {
 			m.OrdersLost(body.Token)
 			m.Pause(n.w.Now() + limit)
--- /dev/null
+++ b/internal/node/roster.go
@@ -0,0 +1,368 @@
+package node
+
+import (
+	"hash/fnv"
+	"log/slog"
+	"math"
+	"sort"
+	"strconv"
+
+	"curlewspool/internal/lead"
+	"curlewspool/internal/ledger"
+	"curlewspool/internal/part"
+	"curlewspool/internal/wire"
+)
+
+// Machines are kept in groups: with a key for each, hundreds that come up
+// together would use the state's budget of changes for a minute. A machine's
+// group follows from its name, so that two controllers that record it at once
+// compare the same keys; a group that is full goes on under a next key.
+const (
+	rosterRoot = "a/m/"
+	groups     = 16
+	most       = 64 * groups // that wait to be recorded
+)
+
+func groupOf(id string) int {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return int(h.Sum32() % groups)
+}
+
+func rosterKey(group, level int) string {
+	return rosterRoot + strconv.Itoa(group) + "/" + strconv.Itoa(level)
+}
+
+// enlist is what is to be added to the rosters and taken out of them.
+type enlist struct {
+	add     map[string]*part.MachineRecord
+	remove  map[string]bool
+	writing [groups]bool
+	soon    bool
+}
+
+func newEnlist() enlist {
+	return enlist{add: map[string]*part.MachineRecord{}, remove: map[string]bool{}}
+}
+
+// rosterChanged compares a roster with what was known of it.
+func (n *Node) rosterChanged(key string, value []byte) {
+	var r part.Roster
+	if value != nil {
+		if err := wire.Decode(value, &r); err != nil {
+			slog.Error("node: bad roster", "key", key, "err", err)
+			return
+		}
+	}
+	here := make(map[string]bool, len(r.Machines))
+	ids := make([]string, 0, len(r.Machines))
+	for i := range r.Machines {
+		rec := &r.Machines[i]
+		here[rec.ID] = true
+		ids = append(ids, rec.ID)
+		delete(n.enlist.add, rec.ID)
+		if old := n.machines[rec.ID]; old != nil && *old == *rec {
+			continue
+		}
+		n.machines[rec.ID] = rec
+		n.eachPart(func(p *part.Part) { p.OnMachine(rec.ID, rec) })
+	}
+	for _, id := range n.rosters[key] {
+		if !here[id] {
+			delete(n.machines, id)
+			delete(n.enlist.remove, id)
+			n.eachPart(func(p *part.Part) { p.OnMachine(id, nil) })
+		}
+	}
+	n.rosters[key] = ids
+}
+
+// levels are a group's rosters as the cache has them.
+func (n *Node) levels(group int) (keys []string, rosters []part.Roster) {
+	for level := 0; ; level++ {
+		key := rosterKey(group, level)
+		e, ok := n.l.Get(key)
+		if !ok {
+			return keys, rosters
+		}
+		var r part.Roster
+		if err := wire.Decode(e.Value, &r); err != nil {
+			slog.Error("node: bad roster", "key", key, "err", err)
+		}
+		keys, rosters = append(keys, key), append(rosters, r)
+	}
+}
+
+// enrol writes what waits, after a moment in which more may come.
+func (n *Node) enrol() {
+	if n.enlist.soon || len(n.enlist.add)+len(n.enlist.remove) == 0 {
+		return
+	}
+	n.enlist.soon = true
+	n.w.After(n.heartbeat()/2, func() {
+		n.enlist.soon = false
+		var due [groups]bool
+		for id := range n.enlist.add {
+			due[groupOf(id)] = true
+		}
+		for id := range n.enlist.remove {
+			due[groupOf(id)] = true
+		}
+		for g, is := range due {
+			if is && !n.enlist.writing[g] {
+				n.writeGroup(g)
+			}
+		}
+	})
+}
+
+// alone: behind a cut nobody reaches the leader, and the controller there
+// records machines itself, on condition that they have no record.
+func (n *Node) alone() bool {
+	return !n.leads() && n.ready() && !n.heard(n.book.Owner(lead.Leader))
+}
+
+func (n *Node) writeGroup(g int) {
+	n.enlist.writing[g] = true
+	limit := int(n.s.Deployment.State.ValueKB * 1024 * 0.8)
+	n.l.Write(ledger.Soon, &ledger.Write{
+		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
+			var conds []wire.Cond
+			switch {
+			case n.leads():
+				conds = append(conds, n.book.Guard(lead.Leader))
+			case !n.alone():
+				return nil, nil
+			}
+			var add []*part.MachineRecord
+			for _, id := range sortedKeys(n.enlist.add) {
+				if groupOf(id) == g && n.machines[id] == nil {
+					add = append(add, n.enlist.add[id])
+				}
+			}
+			keys, rosters := n.levels(g)
+			// All levels are compared: the machine is in none of them. The
+			// level that does not exist yet, too.
+			keys, rosters = append(keys, rosterKey(g, len(keys))), append(rosters, part.Roster{})
+			var ops []wire.Op
+			for i, key := range keys {
+				conds = append(conds, n.l.Stamp(key))
+				r := part.Roster{W: nonce}
+				size, changed := 0, false
+				for _, m := range rosters[i].Machines {
+					if n.enlist.remove[m.ID] {
+						changed = true
+						continue
+					}
+					size += m.Size()
+					r.Machines = append(r.Machines, m)
+				}
+				for len(add) > 0 && size+add[0].Size() <= limit {
+					size += add[0].Size()
+					r.Machines = append(r.Machines, *add[0])
+					add, changed = add[1:], true
+				}
+				if changed {
+					ops = append(ops, wire.Op{Put: key, Value: wire.Encode(&r)})
+				}
+			}
+			return conds, ops
+		},
+		Done: func(ok bool, _ uint64) {
+			n.enlist.writing[g] = false
+			if !ok { // workers report again, and the leader removes again
+				n.giveUp(g)
+				return
+			}
+			n.News("")
+			n.enrol()
+		},
+	})
+}
+
+// giveUp forgets what a group's write was to say: workers report again, and
+// the leader asks again for a removal.
+func (n *Node) giveUp(g int) {
+	for id := range n.enlist.add {
+		if groupOf(id) == g {
+			delete(n.enlist.add, id)
+		}
+	}
+	for id := range n.enlist.remove {
+		if groupOf(id) == g {
+			delete(n.enlist.remove, id)
+		}
+	}
+}
+
+// forget deletes the records of machines that the cloud has deleted.
+func (n *Node) forget(ids []string) {
+	for _, id := range ids {
+		if n.machines[id] != nil {
+			n.enlist.remove[id] = true
+		}
+	}
+}
+
+// Reassign gives a machine of a part owned here to another part.
+func (n *Node) Reassign(id string, to int, guard func() wire.Cond, ok func() bool, done func(bool)) {
+	n.l.Write(ledger.Soon, &ledger.Write{
+		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
+			if !ok() {
+				return nil, nil
+			}
+			keys, rosters := n.levels(groupOf(id))
+			for i, key := range keys {
+				for k := range rosters[i].Machines {
+					if rosters[i].Machines[k].ID == id {
+						rosters[i].W, rosters[i].Machines[k].Part = nonce, to
+						return []wire.Cond{guard(), n.l.Stamp(key)}, []wire.Op{{Put: key, Value: wire.Encode(&rosters[i])}}
+					}
+				}
+			}
+			return nil, nil
+		},
+		Done: func(applied bool, _ uint64) { done(applied) },
+	})
+}
+
+// unlisted takes the report of a machine without a record: the leader gives
+// it to a part.
+func (n *Node) unlisted(r *wire.Report, reply WorkerReply) {
+	alone := n.alone()
+	if !n.leads() && !alone {
+		if o := n.book.Owner(lead.Leader); o != "" && o != n.s.Name {
+			reply(421, &wire.Problem{Error: "not the leader", Owner: o})
+			return
+		}
+		reply(503, &wire.Problem{Error: "no leader"})
+		return
+	}
+	reply(503, &wire.Problem{Error: "being recorded"})
+	if n.enlist.add[r.Machine] != nil || len(n.enlist.add) >= most || !alone && n.fleet.Gone(r.Machine) {
+		return
+	}
+	rec := &part.MachineRecord{ID: r.Machine, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Own: !alone && !n.fleet.Rented(r.Machine)}
+	rec.Part = n.partFor(rec, 0)
+	n.enlist.add[r.Machine] = rec
+	slog.Info("node: machine", "machine", r.Machine, "type", r.Type, "zone", r.Zone, "spot", r.Spot, "part", rec.Part)
+	n.enrol()
+}
+
+// found takes the machines of the cloud's list when none has a record yet: a
+// cluster that starts with hundreds of machines is shared out in one go.
+func (n *Node) found(list []wire.ListedMachine) {
+	if len(n.machines) > 0 || len(n.types) == 0 {
+		return
+	}
+	var up []wire.ListedMachine
+	extra := 0.0
+	cores := func(m *wire.ListedMachine) float64 {
+		if t := n.types[m.Type]; t != nil {
+			return t.Cores
+		}
+		return 0
+	}
+	for _, m := range list {
+		if m.State == wire.MachineUp && n.enlist.add[m.ID] == nil && len(up) < most {
+			up = append(up, m)
+			extra += cores(&m)
+		}
+	}
+	// Large ones first, alike ones together; small ones then even out.
+	sort.SliceStable(up, func(a, b int) bool {
+		x, y := &up[a], &up[b]
+		if c, d := cores(x), cores(y); c != d {
+			return c > d
+		}
+		return x.Type+"/"+x.Zone < y.Type+"/"+y.Zone
+	})
+	for i := range up {
+		m := &up[i]
+		rec := &part.MachineRecord{ID: m.ID, Address: m.Address, Type: m.Type, Zone: m.Zone, Spot: m.Spot, Own: true}
+		extra -= cores(m)
+		rec.Part = n.partFor(rec, extra)
+		n.enlist.add[m.ID] = rec
+	}
+	slog.Info("node: machines there before any record", "count", len(up))
+	n.enrol()
+}
+
+// partFor chooses a machine's part: that of a gang that lacks machines, else
+// the one with most of the machines that are alike (type, kind, zone), as long
+// as shares of cores are equal within a gang's worth of them. A gang of large
+// tasks in one zone then finds its machines in one part. extra are the cores
+// still to be given out.
+func (n *Node) partFor(rec *part.MachineRecord, extra float64) int {
+	t := n.types[rec.Type]
+	for _, g := range n.short {
+		if j := n.jobs[g.Job]; j != nil && part.Allows(&j.Job, t, rec.Zone, rec.Spot) {
+			return int(g.Part)
+		}
+	}
+	type share struct {
+		same  int
+		cores float64
+	}
+	shares := make([]share, len(n.names))
+	own, sum := 1.0, extra
+	if t != nil {
+		own = t.Cores
+	}
+	count := func(m *part.MachineRecord) {
+		if m.Part < 0 || m.Part >= len(shares) {
+			return
+		}
+		if m.Type == rec.Type && m.Spot == rec.Spot && m.Zone == rec.Zone {
+			shares[m.Part].same++
+		}
+		if t := n.types[m.Type]; t != nil {
+			shares[m.Part].cores += t.Cores
+			sum += t.Cores
+		}
+	}
+	for _, m := range n.machines {
+		count(m)
+	}
+	for _, m := range n.enlist.add {
+		count(m)
+	}
+	slack := 0.0
+	for _, l := range n.large {
+		if k := t.Fits(&l.Job, l.Job.Tasks); k > 0 && part.Allows(&l.Job, t, rec.Zone, rec.Spot) {
+			slack = max(slack, own*math.Ceil(float64(l.Job.Tasks)/float64(k)))
+		}
+	}
+	limit := (sum+own)/float64(len(shares)) + slack
+	best, least := -1, 0
+	for k, s := range shares {
+		if s.cores < shares[least].cores {
+			least = k
+		}
+		if s.cores+own/2 > limit {
+			continue
+		}
+		if best < 0 {
+			best = k
+			continue
+		}
+		b := shares[best]
+		here, there := n.atHome(k, rec.Zone), n.atHome(best, rec.Zone)
+		switch {
+		case s.same != b.same:
+			if s.same > b.same {
+				best = k
+			}
+		case here != there:
+			if here {
+				best = k
+			}
+		case s.cores < b.cores:
+			best = k
+		}
+	}
+	if best < 0 {
+		return least
+	}
+	return best
+}
--- a/internal/part/job.go
+++ b/internal/part/job.go
@@ -18,26 +18,49 @@
 	Parts []int    `cbor:"p"`  // part of each chunk
 }
 
-// Progress is what a part's owner keeps of a job, under ProgressKey.
+// Progress is what a part's owner keeps of a job, under ProgressKey. One
+// write says for all machines of the part where the job may be: a write for
+// each machine would use up a minute of the state's budget at the start of one
+// large array.
 type Progress struct {
 	W       string   `cbor:"w"`
 	Done    [][2]int `cbor:"d"` // ranges of finished tasks, ends included
 	Running int      `cbor:"r"`
+	On      []string `cbor:"o"` // machines of the part that it may be on
+	All     bool     `cbor:"a"` // it may be on any of them
 }
 
-// MachineRecord is what the ledger keeps of a machine, under MachineKey.
+// MachineRecord is what the ledger keeps of a machine, in a Roster.
 type MachineRecord struct {
-	W       string   `cbor:"w"`
-	Part    int      `cbor:"p"`
-	Address string   `cbor:"a"`
-	Type    string   `cbor:"t"`
-	Zone    string   `cbor:"z"`
-	Spot    bool     `cbor:"s"`
-	Own     bool     `cbor:"o"` // was there before any rental of ours
-	Jobs    []string `cbor:"j"` // jobs that may be on it
-	Retire  string   `cbor:"x"` // why it is to be returned; "": it is not
+	_       struct{} `cbor:",toarray"`
+	ID      string
+	Part    int
+	Address string
+	Type    string
+	Zone    string
+	Spot    bool
+	Own     bool // was there before any rental of ours
+}
+
+// Size is about what the record takes in the form that limits are counted in.
+func (r *MachineRecord) Size() int {
+	return len(r.ID) + len(r.Address) + len(r.Type) + len(r.Zone) + 32
+}
+
+// Roster is a group of machines kept under one key.
+type Roster struct {
+	W        string          `cbor:"w"`
+	Machines []MachineRecord `cbor:"m"`
 }
 
+// reach is a set of machines that a job may be on.
+type reach struct {
+	all bool
+	on  map[string]bool
+}
+
+func (r *reach) has(id string) bool { return r.all || r.on[id] }
+
 // Final is the end of a job, kept for ever under FinalKey.
 type Final struct {
 	W      string  `cbor:"w"`
@@ -47,9 +70,8 @@
 }
 
 // Keys of the ledger. Finals are outside the cached root.
-func JobKey(id string) string     { return "a/j/" + id }
-func MachineKey(id string) string { return "a/m/" + id }
-func FinalKey(id string) string   { return "d/" + id }
+func JobKey(id string) string   { return "a/j/" + id }
+func FinalKey(id string) string { return "d/" + id }
 
 // Chunks is the number of chunks of a job.
 func (r *JobRecord) Chunks() int { return len(r.Parts) }
@@ -93,9 +115,15 @@
 
 	runs      map[worker.Task]*placement
 	doneMine  int
-	dirty     bool // progress to be written
-	writing   bool
-	ending    bool // the final record is being written
+	dirty     bool                     // progress to be written
+	asked     [3]bool                  // a write of each urgency is queued
+	writing   bool                     // one has been built and its fate is not known
+	stored    reach                    // machines that the ledger says it may be on
+	next      *reach                   // the same in the write that is under way
+	held      bool                     // runs may wait for such a write
+	ended     []*worker.Run            // done, the ledger does not know it yet
+	strays    map[*worker.Run]*Machine // not to be there, being halted
+	ending    bool                     // the final record is being written
 	moving    bool
 	writtenAt time.Duration
 
@@ -120,7 +148,13 @@
 
 func newWork(rec *JobRecord, stamp uint64, now time.Duration) *Work {
 	return &Work{Rec: rec, Stamp: stamp, state: make([]uint8, rec.Job.Tasks), left: rec.Job.Tasks,
-		runs: map[worker.Task]*placement{}, queuedAt: now, failedOn: map[string]int{}, avoid: map[string]time.Duration{}}
+		runs: map[worker.Task]*placement{}, strays: map[*worker.Run]*Machine{}, queuedAt: now, failedOn: map[string]int{}, avoid: map[string]time.Duration{}}
+}
+
+// covers: the ledger says, and whatever is under way will say, that the job
+// may be on the machine.
+func (w *Work) covers(id string) bool {
+	return w.stored.has(id) && (w.next == nil || w.next.has(id))
 }
 
 func (w *Work) gang() bool    { return w.Rec.Job.Shape == wire.Gang }
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -34,14 +34,18 @@
 	Spare(m *Machine) bool
 	// TeamDemand is the cores and GPUs of a team's unfinished jobs.
 	TeamDemand(team string) (cores, gpus float64)
+	// Reassign gives a machine to another part while the guard holds and ok
+	// says so, asked when the write is built.
+	Reassign(id string, to int, guard func() wire.Cond, ok func() bool, done func(bool))
 }
 
 // Machine is a machine of the part.
 type Machine struct {
 	*worker.Machine
 	rec      MachineRecord
-	stored   map[string]bool // jobs that the ledger says may be on it
-	writing  bool
+	room     room   // what is free, as of version
+	version  uint64 // of the runs that room was worked out for
+	reserved *room  // for the head, by the last pass
 	retiring string
 	idleAt   time.Duration // when it last became empty
 	lent     time.Duration // being emptied for another part until then
@@ -53,9 +57,6 @@
 	images   map[string]bool
 }
 
-// Retiring tells whether and why the machine is being returned.
-func (m *Machine) Retiring() string { return m.retiring }
-
 // Part is owned by this controller while the ledger says so.
 type Part struct {
 	K        int
@@ -63,16 +64,21 @@
 	Machines map[string]*Machine
 	Works    map[string]*Work
 
-	h      Host
-	guard  func() wire.Cond
-	closed bool
-	bound  time.Duration // latest moment at which an earlier owner could answer
-	tries  uint64
-	dirty  bool
-
+	h        Host
+	guard    func() wire.Cond
+	closed   bool
+	bound    time.Duration // latest moment at which an earlier owner could answer
+	tries    uint64
+	dirty    bool
+	softFree float64    // cores free on spot machines; negative: to be counted
+	order    []*Machine // by name; nil: to be listed anew
+	queued   []*Work    // all works by name; nil: to be listed anew
+
+	head      *Work // it waits and is reserved for
 	headWaits bool
 	lastPass  time.Duration
-	corr      map[string]float64 // by class: seen run time over estimate
+	due       map[string][]float64 // by class: deadlines that the objectives set
+	corr      map[string]float64   // by class: seen run time over estimate
 }
 
 // Large is a shape of job whose tasks may fill most of a machine.
@@ -85,7 +91,7 @@
 // may have renewed a worker's lease.
 func New(k int, token uint64, h Host, guard func() wire.Cond, bound time.Duration) *Part {
 	p := &Part{K: k, Token: token, Machines: map[string]*Machine{}, Works: map[string]*Work{}, h: h,
-		bound: bound, dirty: true, corr: map[string]float64{}}
+		bound: bound, dirty: true, corr: map[string]float64{}, due: map[string][]float64{}}
 	p.guard = func() wire.Cond {
 		if p.closed {
 			return wire.Cond{Key: guard().Key, Stamp: never}
@@ -106,6 +112,7 @@
 func (p *Part) Close() {
 	p.closed = true
 	p.Works, p.Machines = map[string]*Work{}, map[string]*Machine{}
+	p.order, p.queued, p.head = nil, nil, nil
 }
 
 // ProgressKey is where this part's progress of a job is kept.
@@ -143,17 +150,29 @@
 			return
 		}
 		w = newWork(rec, stamp, p.h.Now())
-		p.Works[id] = w
+		p.Works[id], p.queued = w, nil
+		p.lastPass = 0 // the next tick sees it
+		for _, m := range p.Machines {
+			if m.room.unknown { // perhaps of this job
+				m.version = 0
+			}
+		}
 		slog.Debug("part: queued", "part", p.K, "job", id, "tasks", rec.Job.Tasks, "rank", rec.Rank)
 	}
 	w.Rec, w.Stamp = rec, stamp
 	w.recount(p.K)
 }
 
-// OnProgress takes any part's recorded progress of a job.
-func (p *Part) OnProgress(id string, pr *Progress) {
+// OnProgress takes the recorded progress of a job in part k.
+func (p *Part) OnProgress(id string, k int, pr *Progress) {
 	if w := p.Works[id]; w != nil && pr != nil {
 		w.absorb(pr, p.K)
+		if k == p.K && !w.writing { // else the write's end says what is stored
+			w.stored = reach{pr.All, map[string]bool{}}
+			for _, m := range pr.On {
+				w.stored.on[m] = true
+			}
+		}
 		p.dirty = true
 		p.maybeFinish(w)
 	}
@@ -167,9 +186,10 @@
 	if rec == nil || rec.Part != p.K {
 		if m != nil {
 			delete(p.Machines, id)
+			p.order = nil
 			for _, key := range m.Keys() {
 				run := m.Runs[key]
-				delete(m.Runs, key)
+				m.Drop(run)
 				if !run.Over() {
 					p.gone(m, run)
 				}
@@ -179,20 +199,11 @@
 	}
 	if m == nil {
 		m = &Machine{Machine: worker.New(id, p.Token, max(p.bound, p.h.Now())), strikes: map[string]bool{},
-			images: map[string]bool{}, stored: map[string]bool{}, idleAt: p.h.Now()}
+			images: map[string]bool{}, idleAt: p.h.Now()}
 		m.Address, m.Type, m.Zone, m.Spot = rec.Address, rec.Type, rec.Zone, rec.Spot
-		p.Machines[id] = m
+		p.Machines[id], p.order = m, nil
 	}
 	m.rec = *rec
-	if rec.Retire != "" {
-		m.retiring = rec.Retire
-	}
-	if !m.writing {
-		m.stored = map[string]bool{}
-		for _, j := range rec.Jobs {
-			m.stored[j] = true
-		}
-	}
 }
 
 // drop removes a job that is over: whatever is there of it must go.
@@ -205,6 +216,7 @@
 				continue
 			}
 			run.Foreign = true
+			m.Touch()
 			if run.Over() {
 				run.Reap = true
 			} else {
@@ -214,7 +226,15 @@
 		p.press(m)
 	}
 	w.runs = map[worker.Task]*placement{}
+	p.forget(w)
+}
+
+func (p *Part) forget(w *Work) {
 	delete(p.Works, w.Rec.Job.ID)
+	p.queued = nil
+	if p.head == w {
+		p.head = nil
+	}
 }
 
 func (p *Part) press(m *Machine) {
@@ -223,13 +243,16 @@
 	}
 }
 
+// machines lists them by name. The list is not changed in place.
 func (p *Part) machines() []*Machine {
-	out := make([]*Machine, 0, len(p.Machines))
-	for _, m := range p.Machines {
-		out = append(out, m)
+	if p.order == nil {
+		p.order = make([]*Machine, 0, len(p.Machines))
+		for _, m := range p.Machines {
+			p.order = append(p.order, m)
+		}
+		sort.Slice(p.order, func(i, j int) bool { return p.order[i].ID < p.order[j].ID })
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
-	return out
+	return p.order
 }
 
 // --- what workers say ---
@@ -299,6 +322,9 @@
 		if run.Over() {
 			run.Reap = true
 		} else {
+			if ours {
+				w.strays[run] = m
+			}
 			slog.Info("part: unexpected task is halted", "part", p.K, "machine", m.ID, "task", run.String(), "live", w != nil)
 			m.Stop(run, 0)
 			p.press(m)
@@ -447,6 +473,7 @@
 	delete(w.runs, run.Task)
 	w.set(run.Index, done)
 	w.dirty = true
+	w.ended = append(w.ended, run)
 	if w.gang() { // they complete together
 		for i := range w.state {
 			w.set(i, done)
@@ -486,145 +513,177 @@
 	})
 }
 
-// Settle starts what the latest events made possible.
-func (p *Part) Settle() {
+// Settle starts what the latest events of a machine made possible there, so
+// that the answer to its report brings the orders. A pass over all machines
+// for each report would cost more than the report: it follows at a tick.
+func (p *Part) Settle(m *Machine) {
 	if p.dirty {
-		p.Pass()
+		p.fill(m)
 	}
 }
 
+// passEvery spaces passes over all machines.
+func (p *Part) passEvery() time.Duration { return p.report() / 8 }
+
 // Tick does what time brings: progress writes, leases that end, machines to
 // return. It is called a few times a second.
 func (p *Part) Tick() {
 	now := p.h.Now()
+	active := 0
+	for _, w := range p.works() {
+		if w.dirty {
+			active++
+		}
+	}
+	every := p.saveEvery(active)
 	for _, w := range p.works() {
 		p.maybeFinish(w)
-		p.writeProgress(w, now)
+		p.writeProgress(w, now, every)
 	}
+	p.softFree = -1
 	for _, m := range p.machines() {
 		p.watch(m, now)
 		p.press(m)
 	}
-	if p.dirty || now-p.lastPass > p.report()/2 {
+	if now-p.lastPass >= p.passEvery() && (p.dirty || now-p.lastPass > p.report()/2) {
 		p.Pass()
 	}
 }
 
+// saveEvery spaces the writes of a job's progress, so that all of this part's
+// together use at most a quarter of a member's share of the state's writes.
+func (p *Part) saveEvery(active int) time.Duration {
+	s := p.h.Settings()
+	share := s.Deployment.State.WriteRPS / 4 / float64(max(1, len(s.Names())))
+	return max(p.report(), world.Seconds(float64(active)/share))
+}
+
+// works lists them by name. The list is not changed in place.
 func (p *Part) works() []*Work {
-	out := make([]*Work, 0, len(p.Works))
-	for _, w := range p.Works {
-		out = append(out, w)
+	if p.queued == nil {
+		p.queued = make([]*Work, 0, len(p.Works))
+		for _, w := range p.Works {
+			p.queued = append(p.queued, w)
+		}
+		sort.Slice(p.queued, func(i, j int) bool { return p.queued[i].Rec.Job.ID < p.queued[j].Rec.Job.ID })
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Rec.Job.ID < out[j].Rec.Job.ID })
-	return out
+	return p.queued
 }
 
-func (p *Part) writeProgress(w *Work, now time.Duration) {
-	if !w.dirty || w.writing || w.ending {
+func (p *Part) writeProgress(w *Work, now, every time.Duration) {
+	if w.held {
+		p.store(w, ledger.Soon)
+	}
+	if !w.dirty || w.ending {
 		return
 	}
 	// All our tasks are done, others run elsewhere: they wait for our word.
-	last := w.doneMine == w.mine && w.left > 0
-	every := p.report()
-	if !last && w.writtenAt > 0 && now-w.writtenAt < every {
-		return
+	switch last := w.doneMine == w.mine && w.left > 0; {
+	case last:
+		p.store(w, ledger.Urgent)
+	case w.writtenAt == 0 || now-w.writtenAt >= every:
+		p.store(w, ledger.Later)
 	}
-	w.writing, w.dirty, w.writtenAt = true, false, now
-	id, urgency := w.Rec.Job.ID, ledger.Later
-	if last {
-		urgency = ledger.Urgent
+}
+
+// store writes what is done of a job and the machines it may be on. Runs that
+// the ledger does not cover wait for it.
+func (p *Part) store(w *Work, urgency int) {
+	if w.asked[urgency] || w.writing {
+		return
 	}
+	w.asked[urgency] = true
+	id := w.Rec.Job.ID
 	key := ProgressKey(id, p.K)
-	var ended []*worker.Run
 	l := p.h.Ledger()
+	built := false
+	var ended []*worker.Run
+	var next *reach
 	l.Write(urgency, &ledger.Write{
 		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
-			if p.Works[id] != w {
+			if p.Works[id] != w || w.writing && !built || !built && !w.dirty && !w.held {
 				return nil, nil
 			}
-			ended = ended[:0]
-			for _, m := range p.Machines {
-				for _, run := range m.Runs {
-					if run.Job == id && run.Over() && !run.Reap {
-						ended = append(ended, run)
-					}
-				}
+			built, w.writing, w.dirty, w.writtenAt = true, true, false, p.h.Now()
+			ended = append(ended[:0], w.ended...)
+			limit := int(p.h.Settings().Deployment.State.ValueKB * 1024 * 0.35)
+			pr := &Progress{W: nonce, Done: w.ranges(p.K, limit), Running: w.nplaced}
+			next = p.reachOf(w, limit)
+			pr.All = next.all
+			for m := range next.on {
+				pr.On = append(pr.On, m)
 			}
-			limit := int(p.h.Settings().Deployment.State.ValueKB * 1024 * 0.7)
-			v := wire.Encode(&Progress{W: nonce, Done: w.ranges(p.K, limit), Running: w.nplaced})
-			return []wire.Cond{p.guard(), l.Stamp(key), {Key: JobKey(id), Stamp: w.Stamp}}, []wire.Op{{Put: key, Value: v}}
+			sort.Strings(pr.On)
+			w.next = next
+			return []wire.Cond{p.guard(), l.Stamp(key)}, []wire.Op{{Put: key, Value: wire.Encode(pr)}}
 		},
 		Done: func(ok bool, _ uint64) {
-			w.writing = false
+			w.asked[urgency] = false
+			if !built { // another one said it
+				return
+			}
+			w.writing, w.next = false, nil
 			if !ok {
 				w.dirty = true
-				return
+				return // the tick tries again
 			}
+			w.stored = *next
 			for _, run := range ended {
 				run.Reap = true
 			}
+			w.ended = w.ended[len(ended):]
+			p.unhold(w)
+			if w.held {
+				p.store(w, ledger.Soon)
+			}
 		},
 	})
 }
 
-// record writes the machine's record: the jobs that may be on it, and
-// whether it is to be returned.
-func (p *Part) record(m *Machine) {
-	if m.writing || m.lending {
+// reachOf lists the machines that a job is, may be or may soon be on: while
+// some of it is queued all that could take it, so that not every start needs a
+// write of its own.
+func (p *Part) reachOf(w *Work, limit int) *reach {
+	r := &reach{on: map[string]bool{}}
+	for _, pl := range w.runs {
+		r.on[pl.m.ID] = true
+	}
+	for _, m := range w.strays {
+		r.on[m.ID] = true
+	}
+	more := w.idle > 0 && !w.gang()
+	now := p.h.Now()
+	for _, m := range p.machines() {
+		if !m.Resolved && w.stored.has(m.ID) || more && p.usable(m, now) && p.allowed(m, &w.Rec.Job) {
+			r.on[m.ID] = true
+		}
+	}
+	size := 0
+	for id := range r.on {
+		size += len(id) + 3
+	}
+	if size > limit {
+		return &reach{all: true}
+	}
+	return r
+}
+
+// unhold lets runs start that the ledger covers now.
+func (p *Part) unhold(w *Work) {
+	if !w.held {
 		return
 	}
-	m.writing = true
-	key := MachineKey(m.ID)
-	l := p.h.Ledger()
-	var jobs map[string]bool
-	var retire string
-	urgency := ledger.Soon
-	l.Write(urgency, &ledger.Write{
-		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
-			if p.Machines[m.ID] != m {
-				return nil, nil
-			}
-			jobs, retire = map[string]bool{}, m.retiring
-			rec := m.rec
-			rec.W, rec.Retire = nonce, retire
-			for _, run := range m.Runs {
-				if !run.Over() {
-					jobs[run.Job] = true
-				}
-			}
-			if !m.Resolved {
-				for j := range m.stored {
-					jobs[j] = true
-				}
-			}
-			rec.Jobs = rec.Jobs[:0:0]
-			for j := range jobs {
-				rec.Jobs = append(rec.Jobs, j)
-			}
-			sort.Strings(rec.Jobs)
-			return []wire.Cond{p.guard(), l.Stamp(key)}, []wire.Op{{Put: key, Value: wire.Encode(&rec)}}
-		},
-		Done: func(ok bool, _ uint64) {
-			m.writing = false
-			if p.Machines[m.ID] != m {
-				return
-			}
-			if ok {
-				m.stored = jobs
-			}
-			again := m.retiring != m.rec.Retire && !(ok && retire == m.retiring)
-			for _, run := range m.Runs {
-				if run.Hold && m.stored[run.Job] {
-					run.Hold = false
-				}
-				again = again || run.Hold
-			}
-			p.press(m)
-			if again {
-				p.record(m)
-			}
-		},
-	})
+	w.held = false
+	for _, pl := range w.placements() {
+		switch {
+		case !pl.run.Hold:
+		case w.covers(pl.m.ID):
+			pl.run.Hold = false
+			p.press(pl.m)
+		default:
+			w.held = true
+		}
+	}
 }
 
 // retire takes a machine out of use for good; the leader has it deleted.
@@ -634,7 +693,6 @@
 	}
 	slog.Info("part: machine is returned", "part", p.K, "machine", m.ID, "type", m.Type, "spot", m.Spot, "why", why)
 	m.retiring = why
-	p.record(m)
 }
 
 // watch judges one machine.
@@ -647,9 +705,6 @@
 		p.dirty = true
 	}
 	if m.retiring != "" {
-		if m.rec.Retire == "" {
-			p.record(m)
-		}
 		return
 	}
 	if m.Noticed {
@@ -698,13 +753,15 @@
 		}
 		need += w.Rec.Job.Cores
 	}
-	free := 0.0
-	for _, r := range p.rooms(now) {
-		if r.m.Spot {
-			free += r.cores
+	if p.softFree < 0 { // once a tick
+		p.softFree = 0
+		for _, r := range p.rooms(now) {
+			if r.m.Spot {
+				p.softFree += r.cores
+			}
 		}
 	}
-	return free >= need
+	return p.softFree >= need
 }
 
 // alone tells whether a silent machine is silent by itself: if many are, the
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -21,11 +21,13 @@
 	t                *wire.MachineType
 	cores, gpus, mem float64
 	reserved         bool
+	cost             float64       // of the job looked at
 	at               time.Duration // when the head is to start here
 	spareC, spareG   float64       // what the head leaves at that time
 	spareM           float64
 	// held by work of the lowest rank that loses nothing when it is stopped
 	softC, softG, softM float64
+	unknown             bool // a run is of a job that is over: it goes soon
 }
 
 const eps = 1e-9
@@ -66,34 +68,49 @@
 }
 
 func (p *Part) rooms(now time.Duration) []*room {
-	var out []*room
+	out := make([]*room, 0, len(p.Machines))
+	slab := make([]room, len(p.Machines))
 	for _, m := range p.machines() {
-		t := p.h.TypeOf(m.Type)
-		if t == nil || !p.usable(m, now) {
-			continue
+		if r := p.roomOf(m, now); r != nil {
+			slab[len(out)] = *r
+			out = append(out, &slab[len(out)])
 		}
-		r := &room{m: m, t: t, cores: t.Cores, gpus: t.GPUs, mem: t.Memory}
-		unknown := false
+	}
+	return out
+}
+
+// roomOf works out what is free on a machine, if it may get more to do, anew
+// only after its runs changed. The caller changes a copy only.
+func (p *Part) roomOf(m *Machine, now time.Duration) *room {
+	t := p.h.TypeOf(m.Type)
+	if t == nil || !p.usable(m, now) {
+		return nil
+	}
+	r := &m.room
+	if m.version != m.Version || r.t != t {
+		m.version = m.Version
+		*r = room{m: m, t: t, cores: t.Cores, gpus: t.GPUs, mem: t.Memory}
 		for _, run := range m.Runs {
 			if run.Over() {
 				continue
 			}
-			if w := p.Works[run.Job]; w != nil {
-				r.take(&w.Rec.Job)
-				if w.Rec.Job.Rank == 0 && w.Rec.Job.Mark > 0 {
-					r.softC += w.Rec.Job.Cores
-					r.softG += w.Rec.Job.GPUs
-					r.softM += w.Rec.Job.Memory
-				}
-			} else {
-				unknown = true // of a job that is over: it goes soon
+			w := p.Works[run.Job]
+			if w == nil {
+				r.unknown = true
+				continue
+			}
+			r.take(&w.Rec.Job)
+			if w.Rec.Job.Rank == 0 && w.Rec.Job.Mark > 0 {
+				r.softC += w.Rec.Job.Cores
+				r.softG += w.Rec.Job.GPUs
+				r.softM += w.Rec.Job.Memory
 			}
-		}
-		if !unknown {
-			out = append(out, r)
 		}
 	}
-	return out
+	if r.unknown {
+		return nil
+	}
+	return r
 }
 
 // Score is the weighted priority of a queued job (DESIGN; paper, section 4);
@@ -126,7 +143,12 @@
 	if j.Deadline > 0 {
 		return []float64{j.Deadline}
 	}
-	return p.h.Settings().Deadlines(j.Class)
+	d, ok := p.due[j.Class]
+	if !ok {
+		d = p.h.Settings().Deadlines(j.Class)
+		p.due[j.Class] = d
+	}
+	return d
 }
 
 // length is the estimate that the short-job term compares: of an array, what
@@ -139,13 +161,26 @@
 }
 
 func (p *Part) queue(now time.Duration) []*Work {
-	blocked := map[string]bool{}
-	for _, m := range p.Machines {
+	var silent []*Machine
+	for _, m := range p.machines() {
 		if !m.Resolved {
-			for j := range m.stored {
-				blocked[j] = true
+			silent = append(silent, m)
+		}
+	}
+	blocked := func(w *Work) bool {
+		for _, m := range silent {
+			if w.stored.has(m.ID) {
+				return true
+			}
+		}
+		for run, m := range w.strays {
+			if p.Machines[m.ID] != m || m.Runs[run.RunKey] != run || run.Over() {
+				delete(w.strays, run)
+				continue
 			}
+			return true
 		}
+		return false
 	}
 	var q []*Work
 	shortest := math.Inf(1)
@@ -153,7 +188,7 @@
 		switch {
 		case w.idle == 0 || w.ending || w.moving:
 			continue
-		case blocked[w.Rec.Job.ID]:
+		case blocked(w):
 			w.why = "may be on a machine that is silent"
 			continue
 		case now < w.notTo:
@@ -207,7 +242,7 @@
 		gpus = t.GPUsMax
 	}
 	for _, m := range p.Machines {
-		if !m.Resolved && len(m.stored) > 0 {
+		if !m.Resolved {
 			return 0, 0 // what it runs is not known
 		}
 		for _, run := range m.Runs {
@@ -237,7 +272,17 @@
 	}
 	q := p.queue(now)
 	rooms := p.rooms(now)
-	p.headWaits = false
+	p.headWaits, p.head = false, nil
+	defer func() {
+		for _, m := range p.Machines {
+			m.reserved = nil
+		}
+		for _, r := range rooms {
+			if r.reserved {
+				r.m.reserved = r
+			}
+		}
+	}()
 	for _, w := range q {
 		j := &w.Rec.Job
 		full := p.start(w, rooms, now)
@@ -245,19 +290,50 @@
 			continue
 		}
 		// The head: reserve what it needs at the earliest time.
-		p.headWaits = true
+		p.headWaits, p.head = true, w
 		w.why = "is the head and waits for room"
 		if c, g := p.allowance(j.Team); c < j.Cores || g < j.GPUs {
-			w.why, p.headWaits = "its team's limit is reached", false
+			w.why, p.headWaits, p.head = "its team's limit is reached", false, nil
 			continue
 		}
 		if !p.reserve(w, rooms, now) {
-			p.headWaits = false // no machine here can ever take it
+			p.headWaits, p.head = false, nil // no machine here can ever take it
 			w.why = "no machine of this part can take it"
 		}
 	}
 }
 
+// fill starts on one machine what may start there, in order and without
+// delaying the head of the last pass. A gang is left to the next pass.
+func (p *Part) fill(m *Machine) {
+	now := p.h.Now()
+	free := p.roomOf(m, now)
+	if free == nil || free.cores <= eps || !p.h.MayLaunch() {
+		return
+	}
+	r := *free
+	if m.reserved != nil {
+		r.reserved, r.at = true, m.reserved.at
+		r.spareC, r.spareG, r.spareM = m.reserved.spareC, m.reserved.spareG, m.reserved.spareM
+	}
+	rooms := []*room{&r}
+	for _, w := range p.queue(now) {
+		if r.cores <= eps {
+			return
+		}
+		if w.Rec.Job.Tasks > 1 && (w.gang() || w.Rec.Job.OneZone) {
+			if p.head == nil {
+				return // it may be the head: the next pass tells
+			}
+			continue
+		}
+		was := r.reserved
+		r.reserved = was && w != p.head
+		p.start(w, rooms, now)
+		r.reserved = was
+	}
+}
+
 // start starts as much of w as fits; true if nothing of it is left waiting.
 func (p *Part) start(w *Work, rooms []*room, now time.Duration) bool {
 	j := &w.Rec.Job
@@ -285,11 +361,10 @@
 		w.why = "no room"
 		return false
 	}
-	cost := map[*room]float64{}
 	for _, r := range fits {
-		cost[r] = p.cost(r, j)
+		r.cost = p.cost(r, j)
 	}
-	sort.SliceStable(fits, func(a, b int) bool { return cost[fits[a]] < cost[fits[b]] })
+	sort.SliceStable(fits, func(a, b int) bool { return fits[a].cost < fits[b].cost })
 	plan := p.plan(w, fits, n, now)
 	if len(plan) == 0 || w.gang() && len(plan) < j.Tasks {
 		w.why = "no room for the whole gang"
@@ -307,13 +382,14 @@
 		if !w.gang() {
 			try = p.Token<<20 + p.tries
 		}
-		hold := !r.m.stored[j.ID] || r.m.writing
+		hold := !w.covers(r.m.ID)
 		run := r.m.Place(t, try, hold, now)
 		w.runs[t] = &placement{r.m, run}
 		w.set(i, placed)
-		if hold {
-			p.record(r.m)
-		}
+		w.held = w.held || hold
+	}
+	if w.held {
+		p.store(w, ledger.Soon)
 	}
 	for _, r := range plan {
 		p.press(r.m)
@@ -329,9 +405,11 @@
 	j := &w.Rec.Job
 	inZone := map[string]int{}
 	zone := ""
-	for _, pl := range w.runs {
-		inZone[pl.m.Zone]++
-		zone = pl.m.Zone
+	if j.OneZone || j.Spread {
+		for _, pl := range w.runs {
+			inZone[pl.m.Zone]++
+			zone = pl.m.Zone
+		}
 	}
 	try := func(only string) (plan []*room, undo func()) {
 		count := map[string]int{}
@@ -665,6 +743,10 @@
 
 // --- what others are told, and moves ---
 
+// freeTold bounds the free rooms told, largest first, so that a status stays
+// a few KB with any number of machines.
+const freeTold = 64
+
 // Status is told to all members at each heartbeat.
 func (p *Part) Status(top int) (*mesh.PartStatus, []*mesh.Gap) {
 	now := p.h.Now()
@@ -691,9 +773,16 @@
 	for _, c := range s.Count {
 		out.Count = append(out.Count, int32(c))
 	}
-	for _, r := range p.rooms(now) {
-		if r.cores <= 0 || len(out.Free) >= 32 {
-			continue
+	for _, m := range p.machines() {
+		if m.retiring != "" {
+			out.Retiring = append(out.Retiring, m.ID)
+		}
+	}
+	rooms := p.rooms(now)
+	sort.SliceStable(rooms, func(a, b int) bool { return rooms[a].cores > rooms[b].cores })
+	for _, r := range rooms {
+		if r.cores <= eps || len(out.Free) >= freeTold {
+			break
 		}
 		out.Free = append(out.Free, &mesh.Room{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot, Cores: r.cores, Gpus: r.gpus, MemoryGb: r.mem,
 			Machine: r.m.ID, Empty: len(r.m.Runs) == 0})
@@ -743,28 +832,18 @@
 		return
 	}
 	m.lent = now + p.report() // nothing new; the leader asks again
-	if len(m.Runs) > 0 || !m.Resolved || m.Doubtful() || m.writing || m.lending {
+	if len(m.Runs) > 0 || !m.Resolved || m.Doubtful() || m.lending {
 		return
 	}
 	m.lending = true
-	key := MachineKey(id)
-	l := p.h.Ledger()
-	l.Write(ledger.Soon, &ledger.Write{
-		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
-			if p.Machines[id] != m || len(m.Runs) > 0 || m.Doubtful() || m.writing {
-				return nil, nil
-			}
-			rec := m.rec
-			rec.W, rec.Part, rec.Jobs = nonce, to, nil
-			return []wire.Cond{p.guard(), l.Stamp(key)}, []wire.Op{{Put: key, Value: wire.Encode(&rec)}}
-		},
-		Done: func(ok bool, _ uint64) {
+	p.h.Reassign(id, to, p.guard,
+		func() bool { return p.Machines[id] == m && len(m.Runs) == 0 && !m.Doubtful() },
+		func(ok bool) {
 			m.lending = false
 			if ok {
 				slog.Info("part: machine lent", "machine", id, "from", p.K, "to", to)
 			}
-		},
-	})
+		})
 }
 
 // Move hands a queued chunk to a part that has free room for it now; others
@@ -877,8 +956,8 @@
 			p.dirty = true
 			if ok {
 				slog.Info("part: chunk moved to free room", "job", id, "chunk", c, "from", p.K, "to", to)
-				if w.mine == 0 && len(w.runs) == 0 && p.Works[id] == w {
-					delete(p.Works, id)
+				if w.mine == 0 && len(w.runs) == 0 && len(w.ended) == 0 && len(w.strays) == 0 && !w.writing && p.Works[id] == w {
+					p.forget(w)
 				}
 			}
 		},
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -86,7 +86,8 @@
 	LastHeard  time.Duration
 	LastAnswer time.Duration // latest moment at which its lease may have been renewed
 
-	Runs map[RunKey]*Run
+	Runs    map[RunKey]*Run
+	Version uint64 // grows with every change of the runs that are not over
 
 	doubt   uint64 // token of direct orders whose fate is unknown; 0: none
 	ordered bool   // direct orders are in flight
@@ -96,7 +97,7 @@
 // New makes a machine whose lease may have been renewed up to lastAnswer by
 // an earlier owner.
 func New(id string, base uint64, lastAnswer time.Duration) *Machine {
-	return &Machine{ID: id, Token: base, Base: base, LastAnswer: lastAnswer, LastHeard: lastAnswer, Runs: map[RunKey]*Run{}}
+	return &Machine{ID: id, Token: base, Base: base, LastAnswer: lastAnswer, LastHeard: lastAnswer, Runs: map[RunKey]*Run{}, Version: 1}
 }
 
 // Event is what a report changed.
@@ -195,9 +196,21 @@
 			events = append(events, Event{run, Vanished})
 		}
 	}
+	if len(events) > 0 {
+		m.Touch()
+	}
 	return events, true
 }
 
+// Touch notes that what is on the machine is to be worked out anew.
+func (m *Machine) Touch() { m.Version++ }
+
+// Drop forgets a run.
+func (m *Machine) Drop(run *Run) {
+	delete(m.Runs, run.RunKey)
+	m.Touch()
+}
+
 // disproves tells whether a report that does not list run shows that its
 // launch was not, and can no longer be, executed.
 func (m *Machine) disproves(r *wire.Report, run *Run, posted bool) bool {
@@ -326,6 +339,7 @@
 	m.Resolved = true
 	m.doubt = 0
 	m.Seq = math.MaxUint64
+	m.Touch()
 	var events []Event
 	for _, key := range m.Keys() {
 		run := m.Runs[key]
@@ -344,13 +358,14 @@
 func (m *Machine) Place(t Task, try uint64, hold bool, now time.Duration) *Run {
 	run := &Run{RunKey: RunKey{t, try}, Hold: hold, Placed: now}
 	m.Runs[run.RunKey] = run
+	m.Touch()
 	return run
 }
 
 // Stop asks for a run's end; true if it never was there and is dropped.
 func (m *Machine) Stop(run *Run, grace float64) bool {
 	if !run.MayBeThere() {
-		delete(m.Runs, run.RunKey)
+		m.Drop(run)
 		return true
 	}
 	if !run.Halt || grace < run.Grace {
