--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1072,15 +1072,6 @@
 	return c
 }
 
-// atHome: the part's machines, or if they are of many zones its member by
-// custom, are in the zone.
-func (n *Node) atHome(k int, zone string) bool {
-	if z := n.homeZone(k, home); z != "" {
-		return z == zone
-	}
-	return n.zoneOf(n.names[k]) == zone
-}
-
 // Order sends a machine its orders directly. With nothing to order it still
 // brings the part's token, and the answer is a report.
 func (n *Node) Order(p *part.Part, m *part.Machine) {
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -269,13 +269,16 @@
 			extra += cores(&m)
 		}
 	}
-	// Large ones first, alike ones together; small ones then even out.
+	// Zone by zone, large ones first, alike ones together; small ones even out.
 	sort.SliceStable(up, func(a, b int) bool {
 		x, y := &up[a], &up[b]
+		if x.Zone != y.Zone {
+			return x.Zone < y.Zone
+		}
 		if c, d := cores(x), cores(y); c != d {
 			return c > d
 		}
-		return x.Type+"/"+x.Zone < y.Type+"/"+y.Zone
+		return x.Type < y.Type
 	})
 	for i := range up {
 		m := &up[i]
@@ -288,11 +291,16 @@
 	n.enrol()
 }
 
+// uneven is how much more than an equal share of the cores a part may have so
+// that its machines are all of one zone.
+const uneven = 1.0 / 8
+
 // partFor chooses a machine's part: that of a gang that lacks machines, else
-// the one with most of the machines that are alike (type, kind, zone), as long
-// as shares of cores are equal within a gang's worth of them. A gang of large
-// tasks in one zone then finds its machines in one part. extra are the cores
-// still to be given out.
+// the one with most of the machines that are alike (type, kind, zone), then
+// with most of its zone, as long as shares of cores are about equal, within a
+// gang's worth of such machines. A gang of large tasks in one zone then finds
+// its machines in one part, and a cut between zones parts few machines from
+// their owner. extra are the cores still to be given out.
 func (n *Node) partFor(rec *part.MachineRecord, extra float64) int {
 	t := n.types[rec.Type]
 	for _, g := range n.short {
@@ -301,8 +309,8 @@
 		}
 	}
 	type share struct {
-		same  int
-		cores float64
+		same        int
+		zone, cores float64
 	}
 	shares := make([]share, len(n.names))
 	own, sum := 1.0, extra
@@ -310,15 +318,18 @@
 		own = t.Cores
 	}
 	count := func(m *part.MachineRecord) {
-		if m.Part < 0 || m.Part >= len(shares) {
+		t := n.types[m.Type]
+		if m.Part < 0 || m.Part >= len(shares) || t == nil {
 			return
 		}
-		if m.Type == rec.Type && m.Spot == rec.Spot && m.Zone == rec.Zone {
-			shares[m.Part].same++
-		}
-		if t := n.types[m.Type]; t != nil {
-			shares[m.Part].cores += t.Cores
-			sum += t.Cores
+		s := &shares[m.Part]
+		s.cores += t.Cores
+		sum += t.Cores
+		if m.Zone == rec.Zone {
+			s.zone += t.Cores
+			if m.Type == rec.Type && m.Spot == rec.Spot {
+				s.same++
+			}
 		}
 	}
 	for _, m := range n.machines {
@@ -329,40 +340,43 @@
 	}
 	slack := 0.0
 	for _, l := range n.large {
-		if k := t.Fits(&l.Job, l.Job.Tasks); k > 0 && part.Allows(&l.Job, t, rec.Zone, rec.Spot) {
-			slack = max(slack, own*math.Ceil(float64(l.Job.Tasks)/float64(k)))
+		if part.Allows(&l.Job, t, rec.Zone, rec.Spot) {
+			slack = max(slack, own*math.Ceil(float64(l.Job.Tasks)/float64(max(1, t.Fits(&l.Job, l.Job.Tasks)))))
 		}
 	}
-	limit := (sum+own)/float64(len(shares)) + slack
-	best, least := -1, 0
-	for k, s := range shares {
-		if s.cores < shares[least].cores {
-			least = k
-		}
-		if s.cores+own/2 > limit {
-			continue
-		}
-		if best < 0 {
-			best = k
-			continue
+	equal := (sum + own) / float64(len(shares))
+	// rank: alike machines, its zone, a part still empty, the others.
+	rank := func(k int) int {
+		switch s := shares[k]; {
+		case s.cores+own/2 > equal*(1+uneven)+slack:
+			return 0
+		case s.same > 0:
+			return 5
+		case s.zone > s.cores/2:
+			return 4
+		case s.cores == 0 && n.zoneOf(n.names[k]) == rec.Zone:
+			return 3
+		case s.cores == 0:
+			return 2
+		default:
+			return 1
 		}
-		b := shares[best]
-		here, there := n.atHome(k, rec.Zone), n.atHome(best, rec.Zone)
+	}
+	best := 0
+	for k := range shares {
+		a, b := rank(k), rank(best)
 		switch {
-		case s.same != b.same:
-			if s.same > b.same {
+		case a != b:
+			if a > b {
 				best = k
 			}
-		case here != there:
-			if here {
+		case a == 5 && shares[k].same != shares[best].same:
+			if shares[k].same > shares[best].same {
 				best = k
 			}
-		case s.cores < b.cores:
+		case shares[k].cores < shares[best].cores:
 			best = k
 		}
 	}
-	if best < 0 {
-		return least
-	}
 	return best
 }
