--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,8 +21,15 @@
 type Gap struct {
 	Job    *wire.Job
 	Tasks  int
-	Waited float64
-	Starts float64 // seconds until it is expected to start where it waits; 0: not known
+	Waited float64   // since its submission
+	Starts float64   // seconds until it is expected to start where it waits; 0: not known
+	Due    []float64 // seconds after submission by which it should be done, rising
+}
+
+// Busy is what runs now, of spot jobs and of others.
+type Busy struct {
+	Work  float64 // cores times run time that spot jobs may still take
+	Cores float64 // that other jobs hold
 }
 
 // Known is a machine with a record.
@@ -54,6 +61,7 @@
 	page     []wire.ListedMachine
 	renting  int
 	deleting bool
+	spared   bool
 }
 
 type booting struct {
@@ -113,7 +121,7 @@
 
 // Tick rents, lists and deletes. retiring are the machines that their owners
 // want deleted; found is told each list, forget machines that are surely gone.
-func (f *Fleet) Tick(types map[string]*wire.MachineType, known []Known, retiring map[string]bool, gaps []Gap,
+func (f *Fleet) Tick(types map[string]*wire.MachineType, known []Known, retiring map[string]bool, gaps []Gap, busy Busy,
 	found func([]wire.ListedMachine), forget func(ids []string)) {
 	f.types = types
 	now := f.w.Now()
@@ -124,7 +132,7 @@
 	}
 	f.remove(records, retiring, now, forget)
 	f.list(records, now, found)
-	f.rent(known, retiring, gaps, now)
+	f.rent(known, retiring, gaps, busy, now)
 }
 
 // --- deletions ---
@@ -282,7 +290,11 @@
 	return k
 }
 
-func (f *Fleet) rent(known []Known, retiring map[string]bool, gaps []Gap, now time.Duration) {
+// Spared tells that spot jobs are in time without ordinary machines that were
+// rented: those take no more of them, empty, and are returned.
+func (f *Fleet) Spared() bool { return f.spared }
+
+func (f *Fleet) rent(known []Known, retiring map[string]bool, gaps []Gap, busy Busy, now time.Duration) {
 	// A rental without an answer is asked again under its name, so that what
 	// it rented is known.
 	for len(f.unsure) > 0 && f.renting < 2 && f.spend() {
@@ -323,7 +335,9 @@
 			add(option{u.req.Type, u.req.Zone, u.req.Spot})
 		}
 	}
-	all := f.demand(known, retiring, gaps)
+	all := f.demand(known, retiring, gaps, busy, now)
+	lacks := all.lacks
+	f.spared = all.spared
 	want := map[option]int{}
 	var order []option
 	for _, g := range gaps {
@@ -337,11 +351,14 @@
 			}
 		}
 		for n > 0 {
-			o, ok := f.cheapest(g, n, all, now)
+			o, ok := f.cheapest(g, n, &all, now)
 			if !ok {
 				break
 			}
 			b := add(o)
+			if g.Job.Spot { // spot machines wanted now count as well
+				all.lacks -= b.cores
+			}
 			k := b.take(g.Job, n)
 			if k == 0 {
 				break
@@ -361,6 +378,7 @@
 			return
 		}
 		f.n++
+		slog.Debug("fleet: asks", "type", o.typ, "zone", o.zone, "spot", o.spot, "count", want[o], "lacks", lacks, "wait", all.cores, "busy", busy)
 		f.ask(wire.Rental{Request: fmt.Sprintf("%s-%d", f.name, f.n), Type: o.typ, Zone: o.zone, Spot: o.spot, Count: min(want[o], 50)}, now)
 	}
 }
@@ -368,7 +386,7 @@
 // cheapest finds what to rent for up to n tasks of a job: the least money for
 // a task until it is done, boot time included; a boot counts twice, since the
 // job waits for it as well.
-func (f *Fleet) cheapest(g Gap, n int, all demand, now time.Duration) (option, bool) {
+func (f *Fleet) cheapest(g Gap, n int, all *demand, now time.Duration) (option, bool) {
 	var best option
 	cost := math.Inf(1)
 	for _, name := range slices.Sorted(maps.Keys(f.types)) {
@@ -385,7 +403,7 @@
 				price := t.Price
 				if spot {
 					price = t.Spot
-				} else if g.Job.Spot && !all.worth(g, t) {
+				} else if g.Job.Spot && all.lacks <= 0 {
 					continue
 				}
 				full := t.Fits(g.Job, math.MaxInt32)
@@ -406,44 +424,84 @@
 
 // demand is what waits in all, against what could take it.
 type demand struct {
-	cores    float64 // that waiting tasks of spot jobs take
-	work     float64 // the same times their run time
-	capacity float64 // cores of machines, there or booting, that spot jobs use
+	cores  float64 // that waiting tasks of spot jobs take
+	lacks  float64 // cores of ordinary machines without which spot jobs are late
+	spared bool    // they would be in time without the ordinary ones rented, too
 }
 
-func (f *Fleet) demand(known []Known, retiring map[string]bool, gaps []Gap) demand {
+// demand works out what spot jobs wait for. Ordinary machines are rented for
+// them only as far as work that can still be in time would be late on what is
+// there or boots: done in the order of what is due, with the runs under way
+// half over.
+func (f *Fleet) demand(known []Known, retiring map[string]bool, gaps []Gap, busy Busy, now time.Duration) demand {
+	type supply struct{ cores, boot float64 }
+	var all []supply
+	rented := -busy.Cores // ordinary cores that the others leave
+	for _, k := range known {
+		if t := f.types[k.Rec.Type]; t != nil && !retiring[k.ID] {
+			all = append(all, supply{t.Cores, 0})
+			if !k.Rec.Spot && !k.Rec.Own {
+				rented += t.Cores
+			}
+		}
+	}
+	for _, b := range f.booting {
+		if t := f.types[b.typ]; t != nil {
+			all = append(all, supply{t.Cores, max(0, t.Boot-(now-b.since).Seconds())})
+			if !b.spot {
+				rented += t.Cores
+			}
+		}
+	}
+	fastest := math.Inf(1)
+	for _, t := range f.types {
+		fastest = min(fastest, t.Boot)
+	}
+	held := busy.Cores
+	type due struct {
+		in, work float64
+	}
 	var d demand
+	var list []due
 	for _, g := range gaps {
+		c := float64(g.Tasks) * max(g.Job.Cores, g.Job.GPUs)
 		if !g.Job.Spot {
+			held += c
 			continue
 		}
-		c := float64(g.Tasks) * max(g.Job.Cores, g.Job.GPUs)
 		d.cores += c
-		d.work += c * max(g.Job.Estimate, 1)
-	}
-	for _, k := range known {
-		if t := f.types[k.Rec.Type]; t != nil && !retiring[k.ID] {
-			d.capacity += t.Cores
+		e := max(g.Job.Estimate, 1)
+		if len(g.Due) == 0 { // as soon as it could be
+			list = append(list, due{max(e/2, 2*fastest), c * e})
+		}
+		for _, at := range g.Due {
+			// The first that can still be met without an effort out of
+			// proportion, by machines that would be up for half of the time. A
+			// part of an estimate is kept for what estimates miss.
+			if in := at - g.Waited - 1.25*e; in >= max(e/2, 2*fastest) {
+				list = append(list, due{in, c * e})
+				break
+			}
 		}
 	}
-	for _, b := range f.booting {
-		if t := f.types[b.typ]; t != nil {
-			d.capacity += t.Cores
+	sort.SliceStable(list, func(i, k int) bool { return list[i].in < list[k].in })
+	d.spared = true
+	work := busy.Work
+	for _, g := range list {
+		work += g.work
+		capacity := -held
+		for _, s := range all {
+			capacity += s.cores * max(0, 1-s.boot/g.in)
+		}
+		short := work/g.in - max(0, capacity)
+		d.lacks = max(d.lacks, short)
+		if short+max(0, rented) > 0 {
+			d.spared = false
 		}
 	}
 	return d
 }
 
-// worth: an ordinary machine for a job that a spot machine would do needs a
-// queue that what is there does not clear in the time it takes to boot one
-// and run a task.
-func (d demand) worth(g Gap, t *wire.MachineType) bool {
-	if d.capacity <= 0 {
-		return true
-	}
-	return d.work/d.capacity > t.Boot+g.Job.Estimate/2
-}
-
 func (f *Fleet) ask(req wire.Rental, at time.Duration) {
 	f.renting++
 	out := &wire.MachineNames{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -657,6 +657,7 @@
 		n.rent()
 		n.lend()
 	}
+	st.Spared = n.leads() && n.fleet.Spared()
 	n.moves()
 	for _, name := range sortedKeys(n.peers) { // last: moves take from the free room
 		n.w.Send(name, &mesh.Envelope{Body: &mesh.Envelope_Status{Status: st}})
@@ -664,6 +665,16 @@
 	n.w.After(n.heartbeat(), n.beat)
 }
 
+// Spared tells what the leader says of ordinary machines that were rented:
+// spot jobs do without them.
+func (n *Node) Spared() bool {
+	if n.leads() {
+		return n.fleet.Spared()
+	}
+	p := n.peers[n.book.Owner(lead.Leader)]
+	return p != nil && p.status != nil && n.heard(n.book.Owner(lead.Leader)) && p.status.Spared
+}
+
 // statuses are what the members that are heard told last, and this controller's.
 func (n *Node) statuses() []*mesh.Status {
 	var out []*mesh.Status
@@ -678,11 +689,12 @@
 	return out
 }
 
-// Wanted: some queued work, of whatever part, could run on the machine.
-func (n *Node) Wanted(m *part.Machine) bool {
+// Wanted: some queued work, of whatever part, could run on the machine; spot:
+// also such as a spot machine would do.
+func (n *Node) Wanted(m *part.Machine, spot bool) bool {
 	for _, s := range n.statuses() {
 		for _, g := range s.Gaps {
-			if rec := n.jobs[g.Job]; rec != nil && part.Allows(&rec.Job, n.types[m.Type], m.Zone, m.Spot) {
+			if rec := n.jobs[g.Job]; rec != nil && (spot || !rec.Job.Spot) && part.Allows(&rec.Job, n.types[m.Type], m.Zone, m.Spot) {
 				return true
 			}
 		}
@@ -815,7 +827,11 @@
 	for _, s := range n.statuses() {
 		for _, g := range s.Gaps {
 			if rec := n.jobs[g.Job]; rec != nil {
-				gaps = append(gaps, fleet.Gap{Job: &rec.Job, Tasks: int(g.Tasks), Waited: g.WaitedS, Starts: g.StartsS})
+				due := n.s.Deadlines(rec.Job.Class)
+				if rec.Job.Deadline > 0 {
+					due = []float64{rec.Job.Deadline}
+				}
+				gaps = append(gaps, fleet.Gap{Job: &rec.Job, Tasks: int(g.Tasks), Waited: n.Wall() - rec.At, Starts: g.StartsS, Due: due})
 			}
 		}
 	}
@@ -831,7 +847,17 @@
 			}
 		}
 	}
-	n.fleet.Tick(n.types, known, retiring, gaps, n.found, n.forget)
+	var busy fleet.Busy
+	for id, rec := range n.jobs {
+		_, running, _ := n.Counts(id)
+		cores := float64(running) * max(rec.Job.Cores, rec.Job.GPUs)
+		if rec.Job.Spot {
+			busy.Work += cores * rec.Job.Estimate / 2
+		} else {
+			busy.Cores += cores
+		}
+	}
+	n.fleet.Tick(n.types, known, retiring, gaps, busy, n.found, n.forget)
 	n.enrol()
 }
 
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -309,8 +309,9 @@
 		}
 	}
 	type share struct {
-		same        int
-		zone, cores float64
+		same       int
+		cores      float64 // of its kind, spot or ordinary: each is shared equally
+		zone, both float64 // of either kind
 	}
 	shares := make([]share, len(n.names))
 	own, sum := 1.0, extra
@@ -323,8 +324,11 @@
 			return
 		}
 		s := &shares[m.Part]
-		s.cores += t.Cores
-		sum += t.Cores
+		s.both += t.Cores
+		if m.Spot == rec.Spot {
+			s.cores += t.Cores
+			sum += t.Cores
+		}
 		if m.Zone == rec.Zone {
 			s.zone += t.Cores
 			if m.Type == rec.Type && m.Spot == rec.Spot {
@@ -350,13 +354,13 @@
 		switch s := shares[k]; {
 		case s.cores+own/2 > equal*(1+uneven)+slack:
 			return 0
-		case s.same > 0:
+		case s.same > 0 && !rec.Spot:
 			return 5
-		case s.zone > s.cores/2:
+		case s.zone > s.both/2:
 			return 4
-		case s.cores == 0 && n.zoneOf(n.names[k]) == rec.Zone:
+		case s.both == 0 && n.zoneOf(n.names[k]) == rec.Zone:
 			return 3
-		case s.cores == 0:
+		case s.both == 0:
 			return 2
 		default:
 			return 1
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -26,12 +26,15 @@
 	Order(p *Part, m *Machine)
 	// MayLaunch: the grant holds and the cache is recent.
 	MayLaunch() bool
-	// Wanted: work that waits anywhere could run on the machine.
-	Wanted(m *Machine) bool
+	// Wanted: work that waits anywhere could run on the machine; spot: also
+	// work that a spot machine would do.
+	Wanted(m *Machine, spot bool) bool
 	// Large lists the shapes of single tasks and gangs seen lately, in any part.
 	Large() map[string]Large
 	// Spare: another empty machine of its type is there to be kept instead.
 	Spare(m *Machine) bool
+	// Spared: spot jobs are in time without ordinary machines that were rented.
+	Spared() bool
 	// TeamDemand is the cores and GPUs of a team's unfinished jobs.
 	TeamDemand(team string) (cores, gpus float64)
 	// Reassign gives a machine to another part while the guard holds and ok
@@ -850,7 +853,7 @@
 	if now-m.idleAt < keep {
 		return false
 	}
-	return !p.h.Wanted(m)
+	return !p.h.Wanted(m, m.Spot || m.rec.Own || !p.h.Spared())
 }
 
 // estimate is the expected run time of a task, corrected by what its class
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -500,6 +500,9 @@
 	if r.m.Spot {
 		return false
 	}
+	if j.Spot && !r.m.rec.Own && p.h.Spared() {
+		return true // it is to become empty, and to be returned
+	}
 	for _, s := range p.h.Large() {
 		l := &s.Job
 		if 2*l.Cores <= r.t.Cores || 2*j.Cores >= l.Cores || l.Rank < j.Rank || !Allows(l, r.t, r.m.Zone, r.m.Spot) {
@@ -785,7 +788,7 @@
 			break
 		}
 		out.Free = append(out.Free, &mesh.Room{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot, Cores: r.cores, Gpus: r.gpus, MemoryGb: r.mem,
-			Machine: r.m.ID, Empty: len(r.m.Runs) == 0})
+			Machine: r.m.ID, Empty: len(r.m.Runs) == 0, Own: r.m.rec.Own})
 	}
 	slog.Debug("part: status", "part", p.K, "machines", len(p.Machines), "jobs", len(p.Works), "queued", queued, "free", out.Free, "head", p.headWaits)
 	return out, gaps
@@ -902,7 +905,7 @@
 	}
 	for _, f := range o.Free {
 		k := count(f)
-		if k == 0 || p.kept(&room{m: &Machine{Machine: &worker.Machine{Zone: f.Zone, Spot: f.Spot}}, t: p.h.TypeOf(f.Type),
+		if k == 0 || p.kept(&room{m: &Machine{Machine: &worker.Machine{Zone: f.Zone, Spot: f.Spot}, rec: MachineRecord{Own: f.Own}}, t: p.h.TypeOf(f.Type),
 			cores: f.Cores, gpus: f.Gpus, mem: f.MemoryGb}, j) {
 			continue
 		}
