--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -717,24 +717,49 @@
 		}
 		delete(n.large, oldest)
 	}
-	n.large[fmt.Sprintf("%s/%s/%v/%v", j.Class, j.Zone, j.Types, j.Cores)] = part.Large{Job: *j, Seen: n.w.Now()}
+	key := fmt.Sprintf("%s/%s/%v/%v", j.Class, j.Zone, j.Types, j.Cores)
+	l := part.Large{Job: *j, Seen: n.w.Now()}
+	l.Job.Tasks = max(j.Tasks, n.large[key].Job.Tasks) // of the largest one
+	n.large[key] = l
 }
 
 // Large lists those shapes.
 func (n *Node) Large() map[string]part.Large { return n.large }
 
-// Spare: an empty machine of the same type and kind with a lower name exists.
-func (n *Node) Spare(m *part.Machine) bool {
+// Spare: of the same type and kind as many empty machines as the job takes
+// have lower names, in the zone with most of them if it may only be in one.
+func (n *Node) Spare(m *part.Machine, j *wire.Job) bool {
+	t := n.types[m.Type]
+	if t == nil {
+		return false
+	}
+	need := (j.Tasks + max(1, t.Fits(j, j.Tasks)) - 1) / max(1, t.Fits(j, j.Tasks))
+	count, before := map[string]int{}, 0
 	for _, s := range n.statuses() {
 		for _, p := range s.Parts {
 			for _, r := range p.Free {
-				if r.Empty && r.Type == m.Type && r.Spot == m.Spot && r.Machine < m.ID {
-					return true
+				if !r.Empty || r.Type != m.Type || r.Spot != m.Spot {
+					continue
+				}
+				zone := ""
+				if j.OneZone {
+					zone = r.Zone
+				}
+				count[zone]++
+				if r.Machine < m.ID && (zone == "" || zone == m.Zone) {
+					before++
 				}
 			}
 		}
 	}
-	return false
+	if j.OneZone {
+		for _, z := range sortedKeys(count) {
+			if z != m.Zone && (count[z] > count[m.Zone] || count[z] == count[m.Zone] && z < m.Zone) {
+				return count[z] >= need
+			}
+		}
+	}
+	return before >= need
 }
 
 // lend finds machines in other parts for gangs that their own part is too
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -31,8 +31,9 @@
 	Wanted(m *Machine, spot bool) bool
 	// Large lists the shapes of single tasks and gangs seen lately, in any part.
 	Large() map[string]Large
-	// Spare: another empty machine of its type is there to be kept instead.
-	Spare(m *Machine) bool
+	// Spare: enough other empty machines of its type are there to be kept for
+	// the job instead.
+	Spare(m *Machine, j *wire.Job) bool
 	// Spared: spot jobs are in time without ordinary machines that were rented.
 	Spared() bool
 	// TeamDemand is the cores and GPUs of a team's unfinished jobs.
@@ -845,7 +846,7 @@
 	for _, s := range p.h.Large() {
 		// Few machines take such jobs: one that does is kept as long as the
 		// next may be expected.
-		if 2*s.Job.Cores > t.Cores && now-s.Seen < 10*keep && p.allowed(m, &s.Job) && !p.h.Spare(m) {
+		if 2*s.Job.Cores > t.Cores && now-s.Seen < 10*keep && p.allowed(m, &s.Job) && !p.h.Spare(m, &s.Job) {
 			keep *= 6
 			break
 		}
