--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -604,22 +604,29 @@
 		}
 	}
 	sort.SliceStable(options, func(a, b int) bool { return options[a].at < options[b].at })
-	best := map[*room]option{}
-	have := 0
-	for _, o := range options {
-		have += o.n - best[o.r].n
-		best[o.r] = o
-		if have >= need {
-			break
+	// The earliest moment at which enough is free, in one zone if it must be.
+	var best map[*room]option
+	var start time.Duration
+	for _, zone := range zonesFor(j, rooms) {
+		have, at, set := 0, now, map[*room]option{}
+		for _, o := range options {
+			if zone != "" && o.r.m.Zone != zone {
+				continue
+			}
+			have += o.n - set[o.r].n
+			set[o.r] = o
+			at = max(at, o.at)
+			if have >= need {
+				break
+			}
+		}
+		if have >= need && (best == nil || at < start) {
+			best, start = set, at
 		}
 	}
-	if have < need {
+	if best == nil {
 		return p.preempt(w, rooms, need, now)
 	}
-	start := now
-	for _, o := range best {
-		start = max(start, o.at)
-	}
 	w.starts = start
 	if p.tooLate(w, start, now) && p.preempt(w, rooms, need, now) {
 		return true
@@ -633,6 +640,21 @@
 	return true
 }
 
+// zonesFor lists the zones to try one by one for a job that may only be in
+// one; else one empty name, for all of them.
+func zonesFor(j *wire.Job, rooms []*room) []string {
+	if !j.OneZone {
+		return []string{""}
+	}
+	var zones []string
+	for _, r := range rooms {
+		if !contains(zones, r.m.Zone) {
+			zones = append(zones, r.m.Zone)
+		}
+	}
+	return zones
+}
+
 // tooLate tells whether starting at the given time misses what is expected of
 // the job. If it does not, stopping others would only cost their work.
 func (p *Part) tooLate(w *Work, start, now time.Duration) bool {
@@ -710,12 +732,24 @@
 			plans = append(plans, pl)
 		}
 	}
-	if len(plans) < need || need > 1 && j.OneZone {
-		return false
-	}
 	sort.SliceStable(plans, func(a, b int) bool { return plans[a].lost < plans[b].lost })
+	var chosen []plan
+	least := math.Inf(1)
+	for _, zone := range zonesFor(j, rooms) {
+		var set []plan
+		lost := 0.0
+		for _, pl := range plans {
+			if len(set) < need && (zone == "" || pl.r.m.Zone == zone) {
+				set = append(set, pl)
+				lost += pl.lost
+			}
+		}
+		if len(set) == need && lost < least {
+			chosen, least = set, lost
+		}
+	}
 	any := false
-	for _, pl := range plans[:need] {
+	for _, pl := range chosen {
 		for _, v := range pl.victims {
 			any = true
 			if !v.run.Halt {
