--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -768,20 +768,30 @@
 	return p.softFree >= need
 }
 
-// alone tells whether a silent machine is silent by itself: if many are, the
-// network or this controller is at fault, and deleting them would only
-// destroy work.
+// alone tells whether a silent machine is silent by itself: if many are, in
+// the part or in the machine's zone, the network or this controller is at
+// fault, and deleting them would only destroy work. (With zones apart, the 70
+// machines of a part's smaller zone were once deleted.)
 func (p *Part) alone(m *Machine, now time.Duration) bool {
-	silent, all := 0, 0
+	type count struct{ silent, all int }
+	var part, zone count
 	for _, o := range p.Machines {
-		if o.retiring == "" {
-			all++
-			if now-o.LastHeard > 2*p.report() {
-				silent++
+		if o.retiring != "" {
+			continue
+		}
+		quiet := now-o.LastHeard > 2*p.report()
+		for _, c := range []*count{&part, &zone} {
+			if c == &zone && o.Zone != m.Zone {
+				continue
+			}
+			c.all++
+			if quiet {
+				c.silent++
 			}
 		}
 	}
-	return silent*3 <= all || silent == 1 && all > 1
+	few := func(c count) bool { return c.silent*3 <= c.all || c.silent == 1 }
+	return part.all > 1 && few(part) && few(zone)
 }
 
 // drain stops what can save its progress before a spot machine is taken, and
