--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -657,6 +657,7 @@
 		n.rent()
 		n.lend()
 	}
+	st.Spared = n.leads() && n.fleet.Spared()
 	n.moves()
 	for _, name := range sortedKeys(n.peers) { // last: moves take from the free room
 		n.w.Send(name, &mesh.Envelope{Body: &mesh.Envelope_Status{Status: st}})
@@ -664,6 +665,16 @@
 	n.w.After(n.heartbeat(), n.beat)
 }
 
+// Spared tells what the leader says of ordinary machines that were rented:
+// spot jobs do without them.
+func (n *Node) Spared() bool {
+	if n.leads() {
+		return n.fleet.Spared()
+	}
+	p := n.peers[n.book.Owner(lead.Leader)]
+	return p != nil && p.status != nil && n.heard(n.book.Owner(lead.Leader)) && p.status.Spared
+}
+
 // statuses are what the members that are heard told last, and this controller's.
 func (n *Node) statuses() []*mesh.Status {
 	var out []*mesh.Status
@@ -678,11 +689,12 @@
 	return out
 }
 
-// Wanted: some queued work, of whatever part, could run on the machine.
-func (n *Node) Wanted(m *part.Machine) bool {
+// Wanted: some queued work, of whatever part, could run on the machine; spot:
+// also such as a spot machine would do.
+func (n *Node) Wanted(m *part.Machine, spot bool) bool {
 	for _, s := range n.statuses() {
 		for _, g := range s.Gaps {
-			if rec := n.jobs[g.Job]; rec != nil && part.Allows(&rec.Job, n.types[m.Type], m.Zone, m.Spot) {
+			if rec := n.jobs[g.Job]; rec != nil && (spot || !rec.Job.Spot) && part.Allows(&rec.Job, n.types[m.Type], m.Zone, m.Spot) {
 				return true
 			}
 		}
@@ -705,24 +717,49 @@
 		}
 		delete(n.large, oldest)
 	}
-	n.large[fmt.Sprintf("%s/%s/%v/%v", j.Class, j.Zone, j.Types, j.Cores)] = part.Large{Job: *j, Seen: n.w.Now()}
+	key := fmt.Sprintf("%s/%s/%v/%v", j.Class, j.Zone, j.Types, j.Cores)
+	l := part.Large{Job: *j, Seen: n.w.Now()}
+	l.Job.Tasks = max(j.Tasks, n.large[key].Job.Tasks) // of the largest one
+	n.large[key] = l
 }
 
 // Large lists those shapes.
 func (n *Node) Large() map[string]part.Large { return n.large }
 
-// Spare: an empty machine of the same type and kind with a lower name exists.
-func (n *Node) Spare(m *part.Machine) bool {
+// Spare: of the same type and kind as many empty machines as the job takes
+// have lower names, in the zone with most of them if it may only be in one.
+func (n *Node) Spare(m *part.Machine, j *wire.Job) bool {
+	t := n.types[m.Type]
+	if t == nil {
+		return false
+	}
+	need := (j.Tasks + max(1, t.Fits(j, j.Tasks)) - 1) / max(1, t.Fits(j, j.Tasks))
+	count, before := map[string]int{}, 0
 	for _, s := range n.statuses() {
 		for _, p := range s.Parts {
 			for _, r := range p.Free {
-				if r.Empty && r.Type == m.Type && r.Spot == m.Spot && r.Machine < m.ID {
-					return true
+				if !r.Empty || r.Type != m.Type || r.Spot != m.Spot {
+					continue
+				}
+				zone := ""
+				if j.OneZone {
+					zone = r.Zone
+				}
+				count[zone]++
+				if r.Machine < m.ID && (zone == "" || zone == m.Zone) {
+					before++
 				}
 			}
 		}
 	}
-	return false
+	if j.OneZone {
+		for _, z := range sortedKeys(count) {
+			if z != m.Zone && (count[z] > count[m.Zone] || count[z] == count[m.Zone] && z < m.Zone) {
+				return count[z] >= need
+			}
+		}
+	}
+	return before >= need
 }
 
 // lend finds machines in other parts for gangs that their own part is too
@@ -815,7 +852,11 @@
 	for _, s := range n.statuses() {
 		for _, g := range s.Gaps {
 			if rec := n.jobs[g.Job]; rec != nil {
-				gaps = append(gaps, fleet.Gap{Job: &rec.Job, Tasks: int(g.Tasks), Waited: g.WaitedS, Starts: g.StartsS})
+				due := n.s.Deadlines(rec.Job.Class)
+				if rec.Job.Deadline > 0 {
+					due = []float64{rec.Job.Deadline}
+				}
+				gaps = append(gaps, fleet.Gap{Job: &rec.Job, Tasks: int(g.Tasks), Waited: n.Wall() - rec.At, Starts: g.StartsS, Due: due})
 			}
 		}
 	}
@@ -831,7 +872,17 @@
 			}
 		}
 	}
-	n.fleet.Tick(n.types, known, retiring, gaps, n.found, n.forget)
+	var busy fleet.Busy
+	for id, rec := range n.jobs {
+		_, running, _ := n.Counts(id)
+		cores := float64(running) * max(rec.Job.Cores, rec.Job.GPUs)
+		if rec.Job.Spot {
+			busy.Work += cores * rec.Job.Estimate / 2
+		} else {
+			busy.Cores += cores
+		}
+	}
+	n.fleet.Tick(n.types, known, retiring, gaps, busy, n.found, n.forget)
 	n.enrol()
 }
 
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -500,6 +500,9 @@
 	if r.m.Spot {
 		return false
 	}
+	if j.Spot && !r.m.rec.Own && p.h.Spared() {
+		return true // it is to become empty, and to be returned
+	}
 	for _, s := range p.h.Large() {
 		l := &s.Job
 		if 2*l.Cores <= r.t.Cores || 2*j.Cores >= l.Cores || l.Rank < j.Rank || !Allows(l, r.t, r.m.Zone, r.m.Spot) {
@@ -601,22 +604,29 @@
 		}
 	}
 	sort.SliceStable(options, func(a, b int) bool { return options[a].at < options[b].at })
-	best := map[*room]option{}
-	have := 0
-	for _, o := range options {
-		have += o.n - best[o.r].n
-		best[o.r] = o
-		if have >= need {
-			break
+	// The earliest moment at which enough is free, in one zone if it must be.
+	var best map[*room]option
+	var start time.Duration
+	for _, zone := range zonesFor(j, rooms) {
+		have, at, set := 0, now, map[*room]option{}
+		for _, o := range options {
+			if zone != "" && o.r.m.Zone != zone {
+				continue
+			}
+			have += o.n - set[o.r].n
+			set[o.r] = o
+			at = max(at, o.at)
+			if have >= need {
+				break
+			}
+		}
+		if have >= need && (best == nil || at < start) {
+			best, start = set, at
 		}
 	}
-	if have < need {
+	if best == nil {
 		return p.preempt(w, rooms, need, now)
 	}
-	start := now
-	for _, o := range best {
-		start = max(start, o.at)
-	}
 	w.starts = start
 	if p.tooLate(w, start, now) && p.preempt(w, rooms, need, now) {
 		return true
@@ -630,6 +640,21 @@
 	return true
 }
 
+// zonesFor lists the zones to try one by one for a job that may only be in
+// one; else one empty name, for all of them.
+func zonesFor(j *wire.Job, rooms []*room) []string {
+	if !j.OneZone {
+		return []string{""}
+	}
+	var zones []string
+	for _, r := range rooms {
+		if !contains(zones, r.m.Zone) {
+			zones = append(zones, r.m.Zone)
+		}
+	}
+	return zones
+}
+
 // tooLate tells whether starting at the given time misses what is expected of
 // the job. If it does not, stopping others would only cost their work.
 func (p *Part) tooLate(w *Work, start, now time.Duration) bool {
@@ -707,12 +732,24 @@
 			plans = append(plans, pl)
 		}
 	}
-	if len(plans) < need || need > 1 && j.OneZone {
-		return false
-	}
 	sort.SliceStable(plans, func(a, b int) bool { return plans[a].lost < plans[b].lost })
+	var chosen []plan
+	least := math.Inf(1)
+	for _, zone := range zonesFor(j, rooms) {
+		var set []plan
+		lost := 0.0
+		for _, pl := range plans {
+			if len(set) < need && (zone == "" || pl.r.m.Zone == zone) {
+				set = append(set, pl)
+				lost += pl.lost
+			}
+		}
+		if len(set) == need && lost < least {
+			chosen, least = set, lost
+		}
+	}
 	any := false
-	for _, pl := range plans[:need] {
+	for _, pl := range chosen {
 		for _, v := range pl.victims {
 			any = true
 			if !v.run.Halt {
@@ -785,7 +822,7 @@
 			break
 		}
 		out.Free = append(out.Free, &mesh.Room{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot, Cores: r.cores, Gpus: r.gpus, MemoryGb: r.mem,
-			Machine: r.m.ID, Empty: len(r.m.Runs) == 0})
+			Machine: r.m.ID, Empty: len(r.m.Runs) == 0, Own: r.m.rec.Own})
 	}
 	slog.Debug("part: status", "part", p.K, "machines", len(p.Machines), "jobs", len(p.Works), "queued", queued, "free", out.Free, "head", p.headWaits)
 	return out, gaps
@@ -902,7 +939,7 @@
 	}
 	for _, f := range o.Free {
 		k := count(f)
-		if k == 0 || p.kept(&room{m: &Machine{Machine: &worker.Machine{Zone: f.Zone, Spot: f.Spot}}, t: p.h.TypeOf(f.Type),
+		if k == 0 || p.kept(&room{m: &Machine{Machine: &worker.Machine{Zone: f.Zone, Spot: f.Spot}, rec: MachineRecord{Own: f.Own}}, t: p.h.TypeOf(f.Type),
 			cores: f.Cores, gpus: f.Gpus, mem: f.MemoryGb}, j) {
 			continue
 		}
