--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -26,6 +26,32 @@
 	next   uint64
 	open   []func(final bool) bool
 	Writes int
+	// What of the limits was used.
+	requests, changes budget
+}
+
+// budget is a limit a second that allows bursts.
+type budget struct {
+	rate, burst float64
+	left        float64
+	at          time.Duration
+	Used        int
+	Refused     int
+}
+
+func newBudget(rate, burst float64) budget { return budget{rate: rate, burst: burst, left: burst} }
+
+// take uses n of the budget; false if it has less.
+func (b *budget) take(now time.Duration, n int) bool {
+	b.left = min(b.burst, b.left+b.rate*(now-b.at).Seconds())
+	b.at = now
+	if b.left < float64(n) {
+		b.Refused++
+		return false
+	}
+	b.left -= float64(n)
+	b.Used += n
+	return true
 }
 
 type grant struct {
@@ -34,7 +60,9 @@
 }
 
 func newState(s *Sim) *State {
-	st := &State{s: s, data: map[string]wire.Entry{}, grants: map[uint64]*grant{}}
+	d := &s.S.Deployment.State
+	st := &State{s: s, data: map[string]wire.Entry{}, grants: map[uint64]*grant{},
+		requests: newBudget(d.RPS, d.RPS), changes: newBudget(d.WriteRPS, d.WriteRPS)}
 	s.serve["state"] = st.serve
 	return st
 }
@@ -46,6 +74,10 @@
 		reply(503, object{"error": "trouble"})
 		return
 	}
+	if !st.requests.take(st.s.now, 1) {
+		reply(429, nil)
+		return
+	}
 	u, err := url.Parse(path)
 	if err != nil {
 		reply(400, nil)
@@ -141,10 +173,15 @@
 
 func (st *State) multi(body []byte, reply func(int, any)) {
 	var t wire.Txn
-	if wire.Decode(body, &t) != nil || len(t.Apply) > 12 || len(t.When) > 48 {
+	d := &st.s.S.Deployment.State
+	if wire.Decode(body, &t) != nil || len(t.Apply) > d.TxnOps || len(t.When) > 4*d.TxnOps || len(body) > 64<<10 {
 		reply(400, object{"error": "malformed"})
 		return
 	}
+	if !st.changes.take(st.s.now, len(t.Apply)) {
+		reply(429, nil)
+		return
+	}
 	for _, o := range t.Apply {
 		if o.Lease != 0 && st.grants[o.Lease] == nil {
 			reply(400, object{"error": "no such lease"})
@@ -167,7 +204,7 @@
 	}
 	for _, o := range t.Apply {
 		if o.Put != "" {
-			if len(o.Value) > 16<<10 {
+			if float64(len(o.Value)) > d.ValueKB*1024 {
 				reply(400, object{"error": "too large"})
 				return
 			}
@@ -243,6 +280,7 @@
 	n     int
 	hires map[string][]string
 	Names []string // requests seen, in order
+	calls budget
 }
 
 func newCloud(s *Sim) *Cloud {
@@ -250,11 +288,16 @@
 		{Name: "small", Cores: 4, Memory: 16, CacheGb: 50, Fetch: 1, Price: 0.4, Spot: 0.1, Boot: 10, Zones: []string{"a", "b"}},
 		{Name: "big", Cores: 16, GPUs: 4, Memory: 64, CacheGb: 50, Fetch: 1, Price: 2, Spot: 0.6, Boot: 10, Zones: []string{"a", "b"}},
 	}}
+	c.calls = newBudget(s.S.Deployment.Cloud.RPS, 2*s.S.Deployment.Cloud.RPS)
 	s.serve["cloud"] = c.serve
 	return c
 }
 
 func (c *Cloud) serve(method, path string, body []byte, reply func(int, any)) {
+	if !c.calls.take(c.s.now, 1) {
+		reply(429, nil)
+		return
+	}
 	switch {
 	case path == "/catalog":
 		reply(200, &wire.Catalog{Types: c.Types})
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -33,6 +33,8 @@
 	Nodes  map[string]*Host
 	serve  map[string]server // by address
 	cuts   map[string]bool
+	refuse map[string]bool // requests that get 503, by "from|to"
+	all    []string        // names of the controllers
 	held   map[string][]func()
 	Traced []string
 	Broken []string
@@ -69,13 +71,17 @@
 }
 
 // New makes a deployment of three controllers n0, n1, n2 in two zones.
-func New(seed uint64) *Sim {
-	s := &Sim{rnd: rand.New(rand.NewPCG(seed, 1)), Nodes: map[string]*Host{}, serve: map[string]server{}, cuts: map[string]bool{},
+func New(seed uint64) *Sim { return NewSized(seed, 3) }
+
+// NewSized makes one of several controllers.
+func NewSized(seed uint64, nodes int) *Sim {
+	s := &Sim{refuse: map[string]bool{}, rnd: rand.New(rand.NewPCG(seed, 1)), Nodes: map[string]*Host{}, serve: map[string]server{}, cuts: map[string]bool{},
 		held: map[string][]func(){}, Workers: map[string]*Worker{}, jobs: map[string]*wire.Job{},
 		aborted: map[string]time.Duration{}, told: map[string]string{}}
-	s.State = newState(s)
-	s.Cloud = newCloud(s)
-	names := []string{"n0", "n1", "n2"}
+	for i := 0; i < nodes; i++ {
+		s.all = append(s.all, fmt.Sprintf("n%d", i))
+	}
+	names := s.all
 	for i, name := range names {
 		p := settings.Platform{Name: name, Zone: []string{"a", "b"}[i%2], API: name, Mesh: name}
 		for k, m := range names {
@@ -97,12 +103,14 @@
 			s.S = h.set
 		}
 	}
+	s.State = newState(s)
+	s.Cloud = newCloud(s)
 	return s
 }
 
 // Start starts all controllers.
 func (s *Sim) Start() {
-	for _, name := range []string{"n0", "n1", "n2"} {
+	for _, name := range s.all {
 		s.Nodes[name].Start()
 	}
 }
@@ -142,12 +150,18 @@
 // back, and delivered by Heal.
 func (s *Sim) Cut(a, b string) {
 	s.Trace("cut %s - %s", a, b)
-	s.cuts[a+"|"+b], s.cuts[b+"|"+a] = true, true
+	s.cut(a, b)
 }
 
+func (s *Sim) cut(a, b string) { s.cuts[a+"|"+b], s.cuts[b+"|"+a] = true, true }
+
 // Heal ends a cut.
 func (s *Sim) Heal(a, b string) {
 	s.Trace("heal %s - %s", a, b)
+	s.heal(a, b)
+}
+
+func (s *Sim) heal(a, b string) {
 	for _, k := range []string{a + "|" + b, b + "|" + a} {
 		delete(s.cuts, k)
 		for _, f := range s.held[k] {
@@ -157,6 +171,44 @@
 	}
 }
 
+// CutZone cuts everything in a zone off from everything outside; the function
+// it gives heals the cut.
+func (s *Sim) CutZone(zone string) (heal func()) {
+	inside, outside := []string{}, []string{"state", "cloud", "user"}
+	place := func(z string, hosts ...string) {
+		if z == zone {
+			inside = append(inside, hosts...)
+		} else {
+			outside = append(outside, hosts...)
+		}
+	}
+	for _, n := range s.all {
+		place(s.Nodes[n].set.Zone, n, "api-"+n)
+	}
+	for _, id := range s.workerIDs() {
+		place(s.Workers[id].zone, s.Workers[id].addr)
+	}
+	each := func(f func(a, b string)) {
+		for _, a := range inside {
+			for _, b := range outside {
+				f(a, b)
+			}
+		}
+	}
+	s.Trace("zone %s is cut off", zone)
+	each(s.cut)
+	return func() {
+		s.Trace("zone %s is back", zone)
+		each(s.heal)
+	}
+}
+
+// Refuse lets a service answer one host 503, or ends that.
+func (s *Sim) Refuse(from, to string, on bool) {
+	s.Trace("%s refuses %s: %v", to, from, on)
+	s.refuse[from+"|"+to] = on
+}
+
 func (s *Sim) latency() time.Duration {
 	return time.Millisecond + time.Duration(s.rnd.IntN(2000))*time.Microsecond
 }
@@ -188,6 +240,9 @@
 		if srv == nil {
 			return // silent, like a machine without power
 		}
+		if s.refuse[from+"|"+to] {
+			srv = func(_, _ string, _ []byte, reply func(int, any)) { reply(503, nil) }
+		}
 		srv(method, path, body, func(status int, answer any) {
 			var b []byte
 			if answer != nil {
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -25,7 +25,7 @@
 
 // API connects the controllers' outer interface to the network.
 func (s *Sim) API() {
-	for _, name := range []string{"n0", "n1", "n2"} {
+	for _, name := range s.all {
 		h := s.Nodes[name]
 		s.serve["api-"+name] = func(method, path string, body []byte, reply func(int, any)) {
 			if !h.up {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -102,7 +102,8 @@
 	if w.gone {
 		return
 	}
-	if w.up && !w.Hung && w.s.now-w.begun > time.Duration(w.s.S.Deployment.Workers.Lease*float64(time.Second)) {
+	// A machine that hangs may resume only within its lease.
+	if w.up && w.s.now-w.begun > time.Duration(w.s.S.Deployment.Workers.Lease*float64(time.Second)) {
 		if len(w.tasks) > 0 {
 			w.s.Trace("%s lease over, kills %d", w.id, len(w.tasks))
 		}
@@ -157,8 +158,8 @@
 		w.next(time.Second)
 		return
 	}
-	names := []string{"n0", "n1", "n2"}
-	to := names[w.node%3]
+	names := w.s.all
+	to := names[w.node%len(names)]
 	w.busy = true
 	sent, session := w.s.now, w.session
 	w.lastSent = sent
