--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -821,6 +821,9 @@
 		if r.cores <= eps || len(out.Free) >= freeTold {
 			break
 		}
+		if r.m.reserved != nil {
+			continue // for the head; the others are free for what does not delay it
+		}
 		out.Free = append(out.Free, &mesh.Room{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot, Cores: r.cores, Gpus: r.gpus, MemoryGb: r.mem,
 			Machine: r.m.ID, Empty: len(r.m.Runs) == 0, Own: r.m.rec.Own})
 	}
@@ -883,8 +886,8 @@
 		})
 }
 
-// Move hands a queued chunk to a part that has free room for it now; others
-// are the parts' latest statuses. At most one move is under way.
+// Move hands a queued chunk to a part that has free room for it now, beside
+// what its head is reserved; others are the parts' latest statuses. At most one move is under way.
 func (p *Part) Move(others []*mesh.PartStatus) {
 	now := p.h.Now()
 	if !p.h.MayLaunch() {
@@ -917,7 +920,7 @@
 				continue
 			}
 			for _, o := range others {
-				if int(o.Part) != p.K && !o.HeadWaits && p.roomFor(j, n, w.gang(), o) {
+				if int(o.Part) != p.K && p.roomFor(j, n, w.gang(), o) {
 					p.move(w, c, int(o.Part))
 					return
 				}
