--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -530,14 +530,23 @@
 	return free.fits(l)
 }
 
+// riskOfSpot is the share of a run that is reckoned as lost with spot machines
+// for work that saves nothing: enough to choose an ordinary machine that is
+// there anyway, not one that could be returned.
+const riskOfSpot = 0.1
+
 // cost orders the machines for a task, in seconds: the fetch it would wait
 // for, and small leanings to spot machines, to small ones and to ones that
 // are in use already.
 func (p *Part) cost(r *room, j *wire.Job) float64 {
 	c := p.fetch(r, j).Seconds()
 	report := p.h.Settings().Deployment.Workers.Report
-	if !r.m.Spot && j.Spot {
-		c += 5 * report // an ordinary machine in use for it cannot be returned
+	switch {
+	case !j.Spot:
+	case !r.m.Spot && !r.m.rec.Own:
+		c += 5 * report // a rented one in use for it cannot be returned
+	case r.m.Spot && j.Mark <= 0:
+		c += riskOfSpot * j.Estimate // all its work is lost if the machine is taken
 	}
 	if r.cores >= r.t.Cores {
 		c += report
