--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -530,14 +530,23 @@
 	return free.fits(l)
 }
 
+// riskOfSpot is the share of a run that is reckoned as lost with spot machines
+// for work that saves nothing: enough to choose an ordinary machine that is
+// there anyway, not one that could be returned.
+const riskOfSpot = 0.1
+
 // cost orders the machines for a task, in seconds: the fetch it would wait
 // for, and small leanings to spot machines, to small ones and to ones that
 // are in use already.
 func (p *Part) cost(r *room, j *wire.Job) float64 {
 	c := p.fetch(r, j).Seconds()
 	report := p.h.Settings().Deployment.Workers.Report
-	if !r.m.Spot && j.Spot {
-		c += 5 * report // an ordinary machine in use for it cannot be returned
+	switch {
+	case !j.Spot:
+	case !r.m.Spot && !r.m.rec.Own:
+		c += 5 * report // a rented one in use for it cannot be returned
+	case r.m.Spot && j.Mark <= 0:
+		c += riskOfSpot * j.Estimate // all its work is lost if the machine is taken
 	}
 	if r.cores >= r.t.Cores {
 		c += report
@@ -821,6 +830,9 @@
 		if r.cores <= eps || len(out.Free) >= freeTold {
 			break
 		}
+		if r.m.reserved != nil {
+			continue // for the head; the others are free for what does not delay it
+		}
 		out.Free = append(out.Free, &mesh.Room{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot, Cores: r.cores, Gpus: r.gpus, MemoryGb: r.mem,
 			Machine: r.m.ID, Empty: len(r.m.Runs) == 0, Own: r.m.rec.Own})
 	}
@@ -883,8 +895,8 @@
 		})
 }
 
-// Move hands a queued chunk to a part that has free room for it now; others
-// are the parts' latest statuses. At most one move is under way.
+// Move hands a queued chunk to a part that has free room for it now, beside
+// what its head is reserved; others are the parts' latest statuses. At most one move is under way.
 func (p *Part) Move(others []*mesh.PartStatus) {
 	now := p.h.Now()
 	if !p.h.MayLaunch() {
@@ -917,7 +929,7 @@
 				continue
 			}
 			for _, o := range others {
-				if int(o.Part) != p.K && !o.HeadWaits && p.roomFor(j, n, w.gang(), o) {
+				if int(o.Part) != p.K && p.roomFor(j, n, w.gang(), o) {
 					p.move(w, c, int(o.Part))
 					return
 				}
