--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -486,6 +486,7 @@
 	}
 	sort.SliceStable(list, func(i, k int) bool { return list[i].in < list[k].in })
 	d.spared = true
+	rented = max(0, rented)
 	work := busy.Work
 	for _, g := range list {
 		work += g.work
@@ -495,7 +496,7 @@
 		}
 		short := work/g.in - max(0, capacity)
 		d.lacks = max(d.lacks, short)
-		if short+max(0, rented) > 0 {
+		if short+rented > 0 {
 			d.spared = false
 		}
 	}
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -850,17 +850,21 @@
 	if m.rec.Own {
 		keep = world.Seconds(t.Boot * p.h.Settings().Rent.OwnIdleBoots)
 	}
-	if now-m.idleAt < keep {
-		return false
-	}
+	large := false
 	for _, s := range p.h.Large() {
 		// Few machines take such jobs: one that does is kept as long as the
 		// next may be expected.
-		if 2*s.Job.Cores > t.Cores && now-s.Seen < 10*keep && p.allowed(m, &s.Job) && !p.h.Spare(m, &s.Job) {
-			keep *= 6
-			break
+		if 2*s.Job.Cores > t.Cores && now-s.Seen < 10*keep && p.allowed(m, &s.Job) {
+			large = true
+			if now-m.idleAt >= keep && !p.h.Spare(m, &s.Job) {
+				keep *= 6
+				break
+			}
 		}
 	}
+	if !large && !m.Spot && !m.rec.Own && p.h.Spared() {
+		keep /= 3 // it was rented for a rush that is over
+	}
 	if now-m.idleAt < keep {
 		return false
 	}
