--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -4,13 +4,11 @@
 package lead
 
 import (
-	"fmt"
 	"log/slog"
 	"maps"
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	"curlewspool/internal/ledger"
 	"curlewspool/internal/wire"
@@ -44,7 +42,6 @@
 type Book struct {
 	self     string
 	l        *ledger.Ledger
-	now      func() time.Duration
 	owners   map[string]Owner
 	held     map[string]held
 	claiming map[string]bool
@@ -60,8 +57,8 @@
 }
 
 // New makes an empty book.
-func New(self string, l *ledger.Ledger, now func() time.Duration) *Book {
-	return &Book{self: self, l: l, now: now, owners: map[string]Owner{}, held: map[string]held{}, claiming: map[string]bool{}}
+func New(self string, l *ledger.Ledger) *Book {
+	return &Book{self: self, l: l, owners: map[string]Owner{}, held: map[string]held{}, claiming: map[string]bool{}}
 }
 
 // Change takes a change of a key below a/o/.
@@ -193,5 +190,3 @@
 		},
 	})
 }
-
-func (o Owner) String() string { return fmt.Sprintf("%s@%d", o.Host, o.Token) }
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -384,7 +384,6 @@
 	txn    *wire.Txn
 	conds  [][]wire.Cond // each write's
 	doubt  bool          // an earlier send may have been, or yet be, applied
-	since  time.Duration
 }
 
 func (l *Ledger) pump() {
@@ -420,7 +419,7 @@
 // the budget untouched for urgent ones to come.
 func (l *Ledger) collect() *batch {
 	l.nonces++
-	b := &batch{nonce: fmt.Sprintf("%s.%d", l.nonce, l.nonces), txn: &wire.Txn{}, since: l.w.Now()}
+	b := &batch{nonce: fmt.Sprintf("%s.%d", l.nonce, l.nonces), txn: &wire.Txn{}}
 	seen := map[string]uint64{}
 	size := 0
 	for u := range l.queue {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,7 +46,6 @@
 	enlist   enlist
 
 	peers   map[string]*peer
-	started time.Duration
 	goodFor time.Duration // since when this controller has been ready
 
 	// leader
@@ -88,7 +87,7 @@
 	}
 	n.l = ledger.New(w, s.Services.State, s.Name, ledger.Limits{RPS: d.State.RPS, WriteRPS: d.State.WriteRPS,
 		ValueKB: d.State.ValueKB, TxnOps: d.State.TxnOps, Members: len(n.names)}, n.changed)
-	n.book = lead.New(s.Name, n.l, w.Now)
+	n.book = lead.New(s.Name, n.l)
 	n.book.Taken, n.book.Lost = n.taken, n.lost
 	n.l.Reset = n.reset
 	n.intake = intake.New(n, w)
@@ -119,7 +118,6 @@
 
 // Start sets everything going.
 func (n *Node) Start() {
-	n.started = n.w.Now()
 	n.l.Start()
 	g := &n.l.Grant
 	g.Gained = n.claimOwn
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -78,11 +78,10 @@
 	order    []*Machine // by name; nil: to be listed anew
 	queued   []*Work    // all works by name; nil: to be listed anew
 
-	head      *Work // it waits and is reserved for
-	headWaits bool
-	lastPass  time.Duration
-	due       map[string][]float64 // by class: deadlines that the objectives set
-	corr      map[string]float64   // by class: seen run time over estimate
+	head     *Work // it waits and is reserved for
+	lastPass time.Duration
+	due      map[string][]float64 // by class: deadlines that the objectives set
+	corr     map[string]float64   // by class: seen run time over estimate
 }
 
 // Large is a shape of job whose tasks may fill most of a machine.
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -272,7 +272,7 @@
 	}
 	q := p.queue(now)
 	rooms := p.rooms(now)
-	p.headWaits, p.head = false, nil
+	p.head = nil
 	defer func() {
 		for _, m := range p.Machines {
 			m.reserved = nil
@@ -286,18 +286,18 @@
 	for _, w := range q {
 		j := &w.Rec.Job
 		full := p.start(w, rooms, now)
-		if full || p.headWaits {
+		if full || p.head != nil {
 			continue
 		}
 		// The head: reserve what it needs at the earliest time.
-		p.headWaits, p.head = true, w
+		p.head = w
 		w.why = "is the head and waits for room"
 		if c, g := p.allowance(j.Team); c < j.Cores || g < j.GPUs {
-			w.why, p.headWaits, p.head = "its team's limit is reached", false, nil
+			w.why, p.head = "its team's limit is reached", nil
 			continue
 		}
 		if !p.reserve(w, rooms, now) {
-			p.headWaits, p.head = false, nil // no machine here can ever take it
+			p.head = nil // no machine here can ever take it
 			w.why = "no machine of this part can take it"
 		}
 	}
@@ -815,7 +815,7 @@
 				Part: int32(p.K), Short: int32(p.short(w, now))})
 		}
 	}
-	out := &mesh.PartStatus{Part: int32(p.K), Load: s.Load, HeadWaits: p.headWaits}
+	out := &mesh.PartStatus{Part: int32(p.K), Load: s.Load}
 	for _, c := range s.Count {
 		out.Count = append(out.Count, int32(c))
 	}
@@ -836,7 +836,7 @@
 		out.Free = append(out.Free, &mesh.Room{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot, Cores: r.cores, Gpus: r.gpus, MemoryGb: r.mem,
 			Machine: r.m.ID, Empty: len(r.m.Runs) == 0, Own: r.m.rec.Own})
 	}
-	slog.Debug("part: status", "part", p.K, "machines", len(p.Machines), "jobs", len(p.Works), "queued", queued, "free", out.Free, "head", p.headWaits)
+	slog.Debug("part: status", "part", p.K, "machines", len(p.Machines), "jobs", len(p.Works), "queued", queued, "free", out.Free, "head", p.head != nil)
 	return out, gaps
 }
 
