--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -336,7 +336,6 @@
 		}
 	}
 	all := f.demand(known, retiring, gaps, busy, now)
-	lacks := all.lacks
 	f.spared = all.spared
 	want := map[option]int{}
 	var order []option
@@ -357,7 +356,7 @@
 			}
 			b := add(o)
 			if g.Job.Spot { // spot machines wanted now count as well
-				all.lacks -= b.cores
+				all.added += b.cores
 			}
 			k := b.take(g.Job, n)
 			if k == 0 {
@@ -378,7 +377,7 @@
 			return
 		}
 		f.n++
-		slog.Debug("fleet: asks", "type", o.typ, "zone", o.zone, "spot", o.spot, "count", want[o], "lacks", lacks, "wait", all.cores, "busy", busy)
+		slog.Debug("fleet: asks", "type", o.typ, "zone", o.zone, "spot", o.spot, "count", want[o], "lacks", all.lacks(f.types[o.typ].Boot), "wait", all.cores, "busy", busy)
 		f.ask(wire.Rental{Request: fmt.Sprintf("%s-%d", f.name, f.n), Type: o.typ, Zone: o.zone, Spot: o.spot, Count: min(want[o], 50)}, now)
 	}
 }
@@ -403,7 +402,7 @@
 				price := t.Price
 				if spot {
 					price = t.Spot
-				} else if g.Job.Spot && all.lacks <= 0 {
+				} else if g.Job.Spot && all.lacks(t.Boot) <= 0 {
 					continue
 				}
 				full := t.Fits(g.Job, math.MaxInt32)
@@ -425,8 +424,24 @@
 // demand is what waits in all, against what could take it.
 type demand struct {
 	cores  float64 // that waiting tasks of spot jobs take
-	lacks  float64 // cores of ordinary machines without which spot jobs are late
-	spared bool    // they would be in time without the ordinary ones rented, too
+	spared bool    // they are in time without the ordinary machines rented
+	short  []short // what is late without more of them
+	added  float64 // cores that this round rents
+}
+
+// short is a lack of cores for what is due within a time.
+type short struct{ in, cores float64 }
+
+// lacks is how many cores of machines that boot in the given time would help:
+// ones that are up for less than half of the time in question are not for it.
+func (d *demand) lacks(boot float64) float64 {
+	most := 0.0
+	for _, s := range d.short {
+		if s.in >= 2*boot {
+			most = max(most, s.cores)
+		}
+	}
+	return most - d.added
 }
 
 // demand works out what spot jobs wait for. Ordinary machines are rented for
@@ -494,9 +509,9 @@
 		for _, s := range all {
 			capacity += s.cores * max(0, 1-s.boot/g.in)
 		}
-		short := work/g.in - max(0, capacity)
-		d.lacks = max(d.lacks, short)
-		if short+rented > 0 {
+		missing := work/g.in - max(0, capacity)
+		d.short = append(d.short, short{g.in, missing})
+		if missing+rented > 0 {
 			d.spared = false
 		}
 	}
