--- a/internal/part/tenure_test.go
+++ b/internal/part/tenure_test.go
@@ -1,6 +1,7 @@
 package part
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 	"curlewspool/internal/mesh"
 	"curlewspool/internal/settings"
 	"curlewspool/internal/wire"
+	"curlewspool/internal/worker"
 )
 
 // still is a world in which nothing is answered: it only notes what is sent.
@@ -111,3 +113,26 @@
 		t.Errorf("its guard is %v, which may hold", g)
 	}
 }
+
+// Found on a grown day: zones were apart, and an owner had the 70 machines of
+// the other zone deleted, a third of its part, as if each had failed by itself.
+func TestSilentZoneIsNotDeleted(t *testing.T) {
+	_, p := queued(t)
+	now := p.h.Now()
+	p.Machines = map[string]*Machine{}
+	for i := 0; i < 20; i++ {
+		m := &Machine{Machine: worker.New(fmt.Sprint(i), 1, now)}
+		m.Zone = "a"
+		if i < 5 {
+			m.Zone, m.LastHeard = "b", now-time.Minute
+		}
+		p.Machines[m.ID] = m
+	}
+	if p.alone(p.Machines["0"], now) {
+		t.Error("a machine is called silent by itself while its whole zone is")
+	}
+	p.Machines["7"].LastHeard = now - time.Minute
+	if !p.alone(p.Machines["7"], now) {
+		t.Error("one of fifteen in its zone is not called silent by itself")
+	}
+}
--- a/internal/standin/grown_test.go
+++ b/internal/standin/grown_test.go
@@ -191,3 +191,17 @@
 		t.Logf("%s: %.1f of %v a second, %d refused", b.what, float64(b.Used)/seconds, b.rate, b.Refused)
 	}
 }
+
+// A gang of one zone, of more than one task, makes room by stopping best
+// effort work in the zone where that costs least.
+func TestGangPreemptsInOneZone(t *testing.T) {
+	s := day(t, "gang-preempts", 28, 120, func(s *Sim) {
+		fleet(s, 6, 0)
+		s.Submit(5, Spec("wk-1", wire.Array, 24, 1, 60, func(x *wire.Submission) {
+			m, v := 5.0, 1.0
+			x.Mark, x.Stow, x.Rank = &m, &v, text("best_effort")
+		}))
+		s.Submit(15, Spec("wk-2", wire.Gang, 2, 4, 10, func(x *wire.Submission) { yes := true; x.Rank, x.Together = text("high"), &yes }))
+	})
+	told(t, s, wire.Done, "wk-2")
+}
