--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -724,8 +724,8 @@
 // Large lists those shapes.
 func (n *Node) Large() map[string]part.Large { return n.large }
 
-// Spare: of the same type and kind as many empty machines as the job takes
-// have lower names, in the zone with most of them if it may only be in one.
+// Spare: of the same type and kind as many whole machines as the job takes
+// have lower names (empty, or with what the job may stop without loss), in the zone with most of them if it may only be in one.
 func (n *Node) Spare(m *part.Machine, j *wire.Job) bool {
 	t := n.types[m.Type]
 	if t == nil {
@@ -736,7 +736,7 @@
 	for _, s := range n.statuses() {
 		for _, p := range s.Parts {
 			for _, r := range p.Free {
-				if !r.Empty || r.Type != m.Type || r.Spot != m.Spot {
+				if !r.Whole || r.Type != m.Type || r.Spot != m.Spot {
 					continue
 				}
 				zone := ""
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -31,7 +31,7 @@
 	Wanted(m *Machine, spot bool) bool
 	// Large lists the shapes of single tasks and gangs seen lately, in any part.
 	Large() map[string]Large
-	// Spare: enough other empty machines of its type are there to be kept for
+	// Spare: enough other whole machines of its type are there to be kept for
 	// the job instead.
 	Spare(m *Machine, j *wire.Job) bool
 	// Spared: spot jobs are in time without ordinary machines that were rented.
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -834,7 +834,7 @@
 			continue // for the head; the others are free for what does not delay it
 		}
 		out.Free = append(out.Free, &mesh.Room{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot, Cores: r.cores, Gpus: r.gpus, MemoryGb: r.mem,
-			Machine: r.m.ID, Empty: len(r.m.Runs) == 0, Own: r.m.rec.Own})
+			Machine: r.m.ID, Empty: len(r.m.Runs) == 0, Own: r.m.rec.Own, Whole: r.cores+r.softC >= r.t.Cores-eps})
 	}
 	slog.Debug("part: status", "part", p.K, "machines", len(p.Machines), "jobs", len(p.Works), "queued", queued, "free", out.Free, "head", p.head != nil)
 	return out, gaps
