--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -750,13 +750,15 @@
 			}
 		}
 	}
-	if j.OneZone {
-		for _, z := range sortedKeys(count) {
-			if z != m.Zone && (count[z] > count[m.Zone] || count[z] == count[m.Zone] && z < m.Zone) {
-				return count[z] >= need
-			}
+	best := ""
+	for _, z := range sortedKeys(count) {
+		if best == "" || count[z] > count[best] {
+			best = z
 		}
 	}
+	if j.OneZone && best != m.Zone {
+		return count[best] >= need
+	}
 	return before >= need
 }
 
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -269,6 +269,9 @@
 			extra += cores(&m)
 		}
 	}
+	if len(up) == 0 {
+		return
+	}
 	// Zone by zone, large ones first, alike ones together; small ones even out.
 	sort.SliceStable(up, func(a, b int) bool {
 		x, y := &up[a], &up[b]
--- a/internal/node/roster_test.go
+++ b/internal/node/roster_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"testing"
 
+	"curlewspool/internal/mesh"
 	"curlewspool/internal/part"
 	"curlewspool/internal/settings"
 	"curlewspool/internal/wire"
+	"curlewspool/internal/worker"
 )
 
 // five controllers: n0, n2 and n4 in zone a, n1 and n3 in zone b.
@@ -104,3 +106,21 @@
 		t.Errorf("an array may go to %s", got)
 	}
 }
+
+// Spares are kept in the zone that has most of them; found on a reading, a zone
+// with a few more than the machine's own, but too few, hid one with enough.
+func TestSparesInTheBestZone(t *testing.T) {
+	n := five()
+	st := &mesh.PartStatus{}
+	for i, zone := range []string{"a", "a", "b", "c", "c", "c"} {
+		st.Free = append(st.Free, &mesh.Room{Type: "big", Zone: zone, Machine: fmt.Sprintf("m-%d", i), Whole: true})
+	}
+	n.status = &mesh.Status{Parts: []*mesh.PartStatus{st}}
+	j := &wire.Job{Shape: wire.Gang, Tasks: 3, Cores: 30, Memory: 100, OneZone: true}
+	for i, want := range []bool{true, true, true, false, false, false} {
+		m := &part.Machine{Machine: &worker.Machine{ID: st.Free[i].Machine, Type: "big", Zone: st.Free[i].Zone}}
+		if got := n.Spare(m, j); got != want {
+			t.Errorf("enough others for %s in %s: %v", m.ID, m.Zone, got)
+		}
+	}
+}
