--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -36,6 +36,7 @@
 	h      Host
 	w      world.World
 	finals map[string]part.Final // bounded memory of ended jobs
+	most   int                   // of them
 	ring   []string
 	ringAt int
 
@@ -52,12 +53,13 @@
 	fail  func()             // no proof
 }
 
-// remembered bounds the memory for ended jobs; the ledger has them all.
-const remembered = 5000
+// remembered is how many ended jobs are kept in memory for each MB of it, about
+// half a percent; the ledger has them all.
+const remembered = 20
 
 // New makes an empty intake.
 func New(h Host, w world.World) *Intake {
-	return &Intake{h: h, w: w, finals: map[string]part.Final{}}
+	return &Intake{h: h, w: w, finals: map[string]part.Final{}, most: max(1, int(remembered*h.Settings().Deployment.Limits.RAM))}
 }
 
 // Over remembers a job's end, which the ledger has.
@@ -66,15 +68,18 @@
 		return
 	}
 	in.finals[id] = f
-	if len(in.ring) < remembered {
+	if len(in.ring) < in.most {
 		in.ring = append(in.ring, id)
 		return
 	}
 	delete(in.finals, in.ring[in.ringAt])
 	in.ring[in.ringAt] = id
-	in.ringAt = (in.ringAt + 1) % remembered
+	in.ringAt = (in.ringAt + 1) % in.most
 }
 
+// patience is about how long users wait for an answer, in seconds.
+const patience = 5
+
 // pause is the Retry-After when the state service cannot be used.
 const pause = 1
 
@@ -151,7 +156,8 @@
 		in.unless(job.ID, reply, func() { reply(422, &wire.Problem{Error: why}, 0) })
 		return
 	}
-	if in.h.Ledger().Queued() > 200 {
+	// What would wait for longer than a user does is refused at once.
+	if float64(in.h.Ledger().Queued()) > patience*in.h.Settings().Deployment.State.WriteRPS {
 		reply(429, &wire.Problem{Error: "overloaded"}, 2*pause)
 		return
 	}
@@ -350,7 +356,8 @@
 // look asks the state service about a job that the cache does not have; one
 // comparison serves all that wait.
 func (in *Intake) look(k *lookup) {
-	if in.h.Ledger().Down() || len(in.asked) > 1000 {
+	// Each question holds a connection; half of them are for users.
+	if in.h.Ledger().Down() || len(in.asked) > in.h.Settings().Deployment.Limits.Sockets/2 {
 		k.fail()
 		return
 	}
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -20,7 +20,6 @@
 const (
 	rosterRoot = "a/m/"
 	groups     = 16
-	most       = 64 * groups // that wait to be recorded
 )
 
 func groupOf(id string) int {
@@ -33,6 +32,10 @@
 	return rosterRoot + strconv.Itoa(group) + "/" + strconv.Itoa(level)
 }
 
+// most is how many machines may wait to be recorded: what one write of every
+// group could about hold.
+func (n *Node) most() int { return groups * int(n.s.Deployment.State.ValueKB*1024) / 80 }
+
 // enlist is what is to be added to the rosters and taken out of them.
 type enlist struct {
 	add     map[string]*part.MachineRecord
@@ -239,7 +242,7 @@
 		return
 	}
 	reply(503, &wire.Problem{Error: "being recorded"})
-	if n.enlist.add[r.Machine] != nil || len(n.enlist.add) >= most || !alone && n.fleet.Gone(r.Machine) {
+	if n.enlist.add[r.Machine] != nil || len(n.enlist.add) >= n.most() || !alone && n.fleet.Gone(r.Machine) {
 		return
 	}
 	rec := &part.MachineRecord{ID: r.Machine, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Own: !alone && !n.fleet.Rented(r.Machine)}
@@ -264,7 +267,7 @@
 		return 0
 	}
 	for _, m := range list {
-		if m.State == wire.MachineUp && n.enlist.add[m.ID] == nil && len(up) < most {
+		if m.State == wire.MachineUp && n.enlist.add[m.ID] == nil && len(up) < n.most() {
 			up = append(up, m)
 			extra += cores(&m)
 		}
