--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -450,11 +450,11 @@
 // half over.
 func (f *Fleet) demand(known []Known, retiring map[string]bool, gaps []Gap, busy Busy, now time.Duration) demand {
 	type supply struct{ cores, boot float64 }
-	var all []supply
+	up, boots := 0.0, []supply{}
 	rented := -busy.Cores // ordinary cores that the others leave
 	for _, k := range known {
 		if t := f.types[k.Rec.Type]; t != nil && !retiring[k.ID] {
-			all = append(all, supply{t.Cores, 0})
+			up += t.Cores
 			if !k.Rec.Spot && !k.Rec.Own {
 				rented += t.Cores
 			}
@@ -462,7 +462,7 @@
 	}
 	for _, b := range f.booting {
 		if t := f.types[b.typ]; t != nil {
-			all = append(all, supply{t.Cores, max(0, t.Boot-(now-b.since).Seconds())})
+			boots = append(boots, supply{t.Cores, max(0, t.Boot-(now-b.since).Seconds())})
 			if !b.spot {
 				rented += t.Cores
 			}
@@ -505,8 +505,8 @@
 	work := busy.Work
 	for _, g := range list {
 		work += g.work
-		capacity := -held
-		for _, s := range all {
+		capacity := up - held
+		for _, s := range boots {
 			capacity += s.cores * max(0, 1-s.boot/g.in)
 		}
 		missing := work/g.in - max(0, capacity)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	orphans  map[string]bool     // jobs that are over and have progress
 	rosters  map[string][]string // machines under each key
 	enlist   enlist
+	due      map[string][]float64 // by class: deadlines that the objectives set
 
 	peers   map[string]*peer
 	goodFor time.Duration // since when this controller has been ready
@@ -80,7 +81,7 @@
 	d := &s.Deployment
 	n := &Node{w: w, s: s, names: s.Names(), types: map[string]*wire.MachineType{}, jobs: map[string]*part.JobRecord{},
 		progress: map[string]map[int]*part.Progress{}, machines: map[string]*part.MachineRecord{}, parts: map[int]*part.Part{},
-		cleaning: map[string]bool{}, orphans: map[string]bool{}, rosters: map[string][]string{}, enlist: newEnlist(), large: map[string]part.Large{}, peers: map[string]*peer{},
+		cleaning: map[string]bool{}, orphans: map[string]bool{}, rosters: map[string][]string{}, enlist: newEnlist(), due: map[string][]float64{}, large: map[string]part.Large{}, peers: map[string]*peer{},
 		asks: map[uint64]func(*mesh.Answer){}, ranker: &dispatch.Ranker{Max: s.Rank.Max, Window: s.Rank.Window}}
 	for _, m := range s.Members {
 		n.peers[m.Name] = &peer{heard: -time.Hour, ready: -time.Hour, sign: -time.Hour}
@@ -184,6 +185,20 @@
 	return doneTasks, min(running, rec.Job.Tasks-doneTasks), started
 }
 
+// Deadlines of a job: one without its own has those that the objectives set
+// for its class (ours).
+func (n *Node) Deadlines(j *wire.Job) []float64 {
+	if j.Deadline > 0 {
+		return []float64{j.Deadline}
+	}
+	d, ok := n.due[j.Class]
+	if !ok {
+		d = n.s.Deadlines(j.Class)
+		n.due[j.Class] = d
+	}
+	return d
+}
+
 // TeamDemand sums a team's unfinished jobs.
 func (n *Node) TeamDemand(team string) (cores, gpus float64) {
 	now := n.w.Now()
@@ -725,14 +740,14 @@
 func (n *Node) Large() map[string]part.Large { return n.large }
 
 // Spare: of the same type and kind as many whole machines as the job takes
-// have lower names (empty, or with what the job may stop without loss), in the zone with most of them if it may only be in one.
+// have lower names (empty, or with what the job may stop without loss), in the
+// zone with most of them if it may only be in one.
 func (n *Node) Spare(m *part.Machine, j *wire.Job) bool {
 	t := n.types[m.Type]
 	if t == nil {
 		return false
 	}
-	need := (j.Tasks + max(1, t.Fits(j, j.Tasks)) - 1) / max(1, t.Fits(j, j.Tasks))
-	count, before := map[string]int{}, 0
+	need, count, before := t.Machines(j), map[string]int{}, 0
 	for _, s := range n.statuses() {
 		for _, p := range s.Parts {
 			for _, r := range p.Free {
@@ -852,11 +867,7 @@
 	for _, s := range n.statuses() {
 		for _, g := range s.Gaps {
 			if rec := n.jobs[g.Job]; rec != nil {
-				due := n.s.Deadlines(rec.Job.Class)
-				if rec.Job.Deadline > 0 {
-					due = []float64{rec.Job.Deadline}
-				}
-				gaps = append(gaps, fleet.Gap{Job: &rec.Job, Tasks: int(g.Tasks), Waited: n.Wall() - rec.At, Starts: g.StartsS, Due: due})
+				gaps = append(gaps, fleet.Gap{Job: &rec.Job, Tasks: int(g.Tasks), Waited: n.Wall() - rec.At, Starts: g.StartsS, Due: n.Deadlines(&rec.Job)})
 			}
 		}
 	}
@@ -868,7 +879,7 @@
 	for _, s := range n.statuses() {
 		for _, p := range s.Parts {
 			for _, id := range p.Retiring {
-				retiring[id] = n.machines[id] != nil
+				retiring[id] = true
 			}
 		}
 	}
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -3,7 +3,6 @@
 import (
 	"hash/fnv"
 	"log/slog"
-	"math"
 	"sort"
 	"strconv"
 
@@ -351,7 +350,7 @@
 	slack := 0.0
 	for _, l := range n.large {
 		if part.Allows(&l.Job, t, rec.Zone, rec.Spot) {
-			slack = max(slack, own*math.Ceil(float64(l.Job.Tasks)/float64(max(1, t.Fits(&l.Job, l.Job.Tasks)))))
+			slack = max(slack, own*float64(t.Machines(&l.Job)))
 		}
 	}
 	equal := (sum + own) / float64(len(shares))
--- a/internal/node/roster_test.go
+++ b/internal/node/roster_test.go
@@ -31,7 +31,7 @@
 	}
 }
 
-// parts counts the cores in each part, and the parts that a type and zone is in.
+// spread counts the cores in each part, and the parts that a type and zone is in.
 func (n *Node) spread(typ, zone string) (cores [5]float64, parts int) {
 	var in [5]bool
 	for _, m := range n.machines {
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -36,6 +36,8 @@
 	Spare(m *Machine, j *wire.Job) bool
 	// Spared: spot jobs are in time without ordinary machines that were rented.
 	Spared() bool
+	// Deadlines of a job, in seconds after its submission, in rising order.
+	Deadlines(j *wire.Job) []float64
 	// TeamDemand is the cores and GPUs of a team's unfinished jobs.
 	TeamDemand(team string) (cores, gpus float64)
 	// Reassign gives a machine to another part while the guard holds and ok
@@ -80,8 +82,7 @@
 
 	head     *Work // it waits and is reserved for
 	lastPass time.Duration
-	due      map[string][]float64 // by class: deadlines that the objectives set
-	corr     map[string]float64   // by class: seen run time over estimate
+	corr     map[string]float64 // by class: seen run time over estimate
 }
 
 // Large is a shape of job whose tasks may fill most of a machine.
@@ -94,7 +95,7 @@
 // may have renewed a worker's lease.
 func New(k int, token uint64, h Host, guard func() wire.Cond, bound time.Duration) *Part {
 	p := &Part{K: k, Token: token, Machines: map[string]*Machine{}, Works: map[string]*Work{}, h: h,
-		bound: bound, dirty: true, corr: map[string]float64{}, due: map[string][]float64{}}
+		bound: bound, dirty: true, corr: map[string]float64{}}
 	p.guard = func() wire.Cond {
 		if p.closed {
 			return wire.Cond{Key: guard().Key, Stamp: never}
@@ -772,25 +773,23 @@
 // fault, and deleting them would only destroy work. (With zones apart, the 70
 // machines of a part's smaller zone were once deleted.)
 func (p *Part) alone(m *Machine, now time.Duration) bool {
-	type count struct{ silent, all int }
-	var part, zone count
-	for _, o := range p.Machines {
-		if o.retiring != "" {
-			continue
-		}
-		quiet := now-o.LastHeard > 2*p.report()
-		for _, c := range []*count{&part, &zone} {
-			if c == &zone && o.Zone != m.Zone {
+	// few counts in a zone, or in all of them.
+	few := func(zone string) (ok bool, all int) {
+		silent := 0
+		for _, o := range p.Machines {
+			if o.retiring != "" || zone != "" && o.Zone != zone {
 				continue
 			}
-			c.all++
-			if quiet {
-				c.silent++
+			all++
+			if now-o.LastHeard > 2*p.report() {
+				silent++
 			}
 		}
+		return silent*3 <= all || silent == 1, all
 	}
-	few := func(c count) bool { return c.silent*3 <= c.all || c.silent == 1 }
-	return part.all > 1 && few(part) && few(zone)
+	inPart, all := few("")
+	inZone, _ := few(m.Zone)
+	return all > 1 && inPart && inZone
 }
 
 // drain stops what can save its progress before a spot machine is taken, and
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -114,7 +114,7 @@
 }
 
 // Score is the weighted priority of a queued job (DESIGN; paper, section 4);
-// deadlines are those of the job, see Part.deadlines; short is the shortest
+// deadlines are those of the job, see Host.Deadlines; short is the shortest
 // queued estimate over its own.
 // The weight of the user's priority is ours: PROTOCOL lets a higher one
 // preempt, so it must also be ahead in the queue. Ours, too: of several
@@ -137,20 +137,6 @@
 	return v + s.DeadlineMin
 }
 
-// deadlines of a job, in rising order: a job without one has those that the
-// objectives set for its class (ours).
-func (p *Part) deadlines(j *wire.Job) []float64 {
-	if j.Deadline > 0 {
-		return []float64{j.Deadline}
-	}
-	d, ok := p.due[j.Class]
-	if !ok {
-		d = p.h.Settings().Deadlines(j.Class)
-		p.due[j.Class] = d
-	}
-	return d
-}
-
 // length is the estimate that the short-job term compares: of an array, what
 // is queued of it here, since its user waits for the last task (ours).
 func (w *Work) length() float64 {
@@ -207,7 +193,7 @@
 	wall := p.h.Wall()
 	for _, w := range q {
 		j := &w.Rec.Job
-		w.score = Score(s, j, p.deadlines(j), wall-w.Rec.At, shortest/max(w.length(), 1e-9), j.Estimate)
+		w.score = Score(s, j, p.h.Deadlines(j), wall-w.Rec.At, shortest/max(w.length(), 1e-9), j.Estimate)
 		if p.guaranteed(j.Team) {
 			w.score += 1e9
 		}
@@ -679,7 +665,7 @@
 			}
 		}
 	}
-	for _, d := range p.deadlines(j) {
+	for _, d := range p.h.Deadlines(j) {
 		expected = true
 		if wait+j.Estimate > d {
 			return true
@@ -896,7 +882,8 @@
 }
 
 // Move hands a queued chunk to a part that has free room for it now, beside
-// what its head is reserved; others are the parts' latest statuses. At most one move is under way.
+// what its head is reserved; others are the parts' latest statuses. At most one
+// move is under way.
 func (p *Part) Move(others []*mesh.PartStatus) {
 	now := p.h.Now()
 	if !p.h.MayLaunch() {
--- a/internal/standin/days_test.go
+++ b/internal/standin/days_test.go
@@ -64,6 +64,28 @@
 	}
 }
 
+// cutFor parts pairs of hosts from one time to another, in seconds.
+func (s *Sim) cutFor(from, to float64, pairs [][2]string) {
+	s.At(from, func() {
+		for _, p := range pairs {
+			s.Cut(p[0], p[1])
+		}
+	})
+	s.At(to, func() {
+		for _, p := range pairs {
+			s.Heal(p[0], p[1])
+		}
+	})
+}
+
+// links are a machine's ways to and from all controllers.
+func (s *Sim) links(w *Worker) (pairs [][2]string) {
+	for _, n := range s.all {
+		pairs = append(pairs, [2]string{w.Addr(), "api-" + n}, [2]string{w.Addr(), n})
+	}
+	return pairs
+}
+
 func text(s string) *string { return &s }
 
 // All shapes on a quiet day; machines are rented for what finds no room.
@@ -180,18 +202,7 @@
 	s := day(t, "silent-worker", 7, 110, func(s *Sim) {
 		w := fleet(s, 4, 0)
 		s.Submit(5, Spec("wk-1", wire.Array, 16, 1, 30, nil))
-		s.At(12, func() {
-			for _, n := range []string{"n0", "n1", "n2"} {
-				s.Cut(w[0].Addr(), "api-"+n)
-				s.Cut(w[0].Addr(), n)
-			}
-		})
-		s.At(60, func() {
-			for _, n := range []string{"n0", "n1", "n2"} {
-				s.Heal(w[0].Addr(), "api-"+n)
-				s.Heal(w[0].Addr(), n)
-			}
-		})
+		s.cutFor(12, 60, s.links(w[0]))
 	})
 	told(t, s, wire.Done, "wk-1")
 }
@@ -294,16 +305,7 @@
 		}
 		s.Submit(6, Spec("wk-1", wire.Array, 24, 1, 40, nil))
 		s.Submit(30, Spec("wk-2", wire.Array, 4, 1, 5, nil))
-		s.At(20, func() {
-			for _, p := range pairs {
-				s.Cut(p[0], p[1])
-			}
-		})
-		s.At(50, func() {
-			for _, p := range pairs {
-				s.Heal(p[0], p[1])
-			}
-		})
+		s.cutFor(20, 50, pairs)
 	})
 	told(t, s, wire.Done, "wk-1", "wk-2")
 	if strings.Contains(s.Text(), "lease over") {
--- a/internal/standin/grown_test.go
+++ b/internal/standin/grown_test.go
@@ -19,16 +19,7 @@
 		s.Submit(5, Spec("wk-1", wire.Array, 24, 1, 30, nil))
 		s.Submit(20, Spec("wk-2", wire.Array, 6, 1, 5, nil))
 		pairs := [][2]string{{"n0", "n1"}, {"n0", "n2"}, {"n1", "n2"}}
-		s.At(12, func() {
-			for _, p := range pairs {
-				s.Cut(p[0], p[1])
-			}
-		})
-		s.At(42, func() {
-			for _, p := range pairs {
-				s.Heal(p[0], p[1])
-			}
-		})
+		s.cutFor(12, 42, pairs)
 	})
 	told(t, s, wire.Done, "wk-1", "wk-2")
 	if n := strings.Count(s.Text(), "starts wk-1/"); n != 24 {
@@ -67,7 +58,7 @@
 	told(t, s, wire.Done, "wk-1", "wk-2")
 }
 
-// A third of the machines hang, as many are cut off, as many fail every task.
+// A quarter of the machines hang, as many are cut off, as many fail every task.
 func TestManyMachinesInTrouble(t *testing.T) {
 	s := day(t, "many-machines", 24, 200, func(s *Sim) {
 		w := fleet(s, 12, 0)
@@ -75,25 +66,16 @@
 		s.Submit(5, Spec("wk-1", wire.Array, 48, 1, 15, nil))
 		s.Submit(16, Spec("wk-2", wire.Array, 24, 1, 10, nil))
 		s.Submit(18, Spec("wk-3", wire.Array, 24, 1, 10, nil))
-		s.At(12, func() {
-			for i := 0; i < 3; i++ {
-				w[i].Hung = true
-				w[3+i].Faulty = true
-				for _, n := range s.all {
-					s.Cut(w[6+i].Addr(), "api-"+n)
-					s.Cut(w[6+i].Addr(), n)
-				}
-			}
-		})
-		s.At(50, func() {
-			for i := 0; i < 3; i++ {
-				w[i].Hung, w[3+i].Faulty = false, false
-				for _, n := range s.all {
-					s.Heal(w[6+i].Addr(), "api-"+n)
-					s.Heal(w[6+i].Addr(), n)
+		for at, on := range map[float64]bool{12: true, 50: false} {
+			s.At(at, func() {
+				for i := 0; i < 3; i++ {
+					w[i].Hung, w[3+i].Faulty = on, on
 				}
-			}
-		})
+			})
+		}
+		for _, x := range w[6:9] {
+			s.cutFor(12, 50, s.links(x))
+		}
 	})
 	told(t, s, wire.Done, "wk-1", "wk-2", "wk-3")
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -274,6 +274,12 @@
 	return int(k)
 }
 
+// Machines is how many empty machines all tasks of a job take.
+func (t *MachineType) Machines(j *Job) int {
+	k := max(1, t.Fits(j, j.Tasks))
+	return (j.Tasks + k - 1) / k
+}
+
 // Catalog answers GET /catalog.
 type Catalog struct {
 	Types []MachineType `cbor:"builds"`
