curlew dev: whole clusters on the loopback; submit, status, abort, wait, audit

Controllers are processes that dev starts, restarts and ends by id. curlew audit judges only what machines saw.

The controller is not touched.

--- /dev/null
+++ b/cmd/curlew/dev.go
@@ -0,0 +1,272 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"curlewspool/internal/audit"
+	"curlewspool/internal/client"
+	"curlewspool/internal/dev"
+	"curlewspool/internal/standin"
+	"curlewspool/internal/wire"
+)
+
+func sorted(s []string) []string { slices.Sort(s); return s }
+
+func devCommand() *cobra.Command {
+	p := dev.Plan{}
+	var kills []string
+	var stop time.Duration
+	var sample int
+	var asJSON bool
+	c := &cobra.Command{
+		Use: "dev", Short: "Run whole clusters on this machine until Ctrl-C",
+		Long: "Starts stand-ins for the state service, the cloud and the machines, and real controllers,\n" +
+			"all on 127.0.0.1, and prints how to speak to them. Ctrl-C ends all of it, and nothing else.",
+		Example: "  curlew dev --sample 6          # start, run sample jobs, show them done, end\n" +
+			"  curlew dev --clusters 2 --kill east/@30s",
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			for _, k := range kills {
+				kill, err := dev.ParseKill(k)
+				if err != nil {
+					return err
+				}
+				p.Kills = append(p.Kills, kill)
+			}
+			if p.Dir == "" {
+				dir, err := os.MkdirTemp("", "curlew-dev-")
+				if err != nil {
+					return err
+				}
+				p.Dir = dir
+			}
+			out := c.OutOrStdout()
+			words := out
+			if asJSON {
+				words = c.ErrOrStderr()
+			}
+			var mu sync.Mutex
+			p.Say = func(format string, a ...any) {
+				mu.Lock()
+				defer mu.Unlock()
+				fmt.Fprintf(words, format+"\n", a...)
+			}
+			ctx, done := signal.NotifyContext(c.Context(), os.Interrupt, syscall.SIGTERM)
+			defer done()
+			if stop > 0 {
+				var cancel func()
+				ctx, cancel = context.WithTimeout(ctx, stop)
+				defer cancel()
+			}
+			return runDev(ctx, p, sample, asJSON, out)
+		},
+	}
+	f := c.Flags()
+	f.IntVar(&p.Controllers, "controllers", 3, "controllers of each cluster")
+	f.IntVar(&p.Machines, "machines", 8, "machines of each cluster that are up at the start")
+	f.IntVar(&p.Rentable, "rentable", 4, "machines of each type, zone and kind that the cloud has more")
+	f.IntVar(&p.Zones, "zones", 2, "zones")
+	f.IntVar(&p.Clusters, "clusters", 1, "clusters")
+	f.DurationVar(&stop, "for", 0, "end after this time (0: at Ctrl-C)")
+	f.StringVar(&p.Dir, "dir", "", "folder for settings and logs (default: a new one)")
+	f.StringArrayVar(&kills, "kill", nil, "[CLUSTER/][HOST]@TIME[+TIME]: a controller, or all of a cluster, to die then, and to be back later")
+	f.IntVar(&sample, "sample", 0, "submit this many sample jobs to each cluster, show them done, and end")
+	f.StringVar(&p.Program, "program", "", "the controller's program (default: beside this one, else built from source)")
+	f.StringVar(&p.LogLevel, "log-level", "info", "the controllers' LOG_LEVEL: error, info or debug")
+	f.BoolVar(&asJSON, "json", false, "print addresses, and the samples' result, as JSON")
+	return c
+}
+
+type clusterJSON struct {
+	Name        string   `json:"name"`
+	Users       string   `json:"users"`
+	Controllers []string `json:"controllers"`
+}
+
+func runDev(ctx context.Context, p dev.Plan, sample int, asJSON bool, out io.Writer) (err error) {
+	if p.Program, err = dev.Program(p.Program, p.Dir, p.Say); err != nil {
+		return err
+	}
+	d, err := dev.Start(p)
+	if err != nil {
+		return err
+	}
+	defer func() {
+		d.Stop()
+		if broken := d.Live.Ended(); err == nil && len(broken) > 0 {
+			err = fmt.Errorf("%d rules were seen broken, the first: %s", len(broken), broken[0])
+		}
+	}()
+	wait, cancel := context.WithTimeout(ctx, time.Minute)
+	defer cancel()
+	if err := d.Ready(wait); err != nil {
+		if ctx.Err() != nil {
+			return nil // it was to end
+		}
+		return err
+	}
+	var list []clusterJSON
+	for _, c := range d.Clusters {
+		j := clusterJSON{Name: c.Name, Users: c.Address()}
+		for i := range c.Platform {
+			j.Controllers = append(j.Controllers, c.Platform[i].API)
+		}
+		list = append(list, j)
+		name := ""
+		if c.Name != "" {
+			name = "cluster " + c.Name + ": "
+		}
+		p.Say("%sready for users at %s; controllers at %v", name, j.Users, j.Controllers)
+	}
+	p.Say("settings, logs and what the machines saw: %s", p.Dir)
+	p.Say("try:  curlew submit --to %s --tasks 20 --estimate 5 --wait", list[0].Users)
+	p.Say("      curlew status --to %s JOB", list[0].Users)
+	if sample > 0 {
+		r, err := samples(ctx, d, sample, p.Say)
+		if err != nil {
+			return err
+		}
+		if asJSON {
+			return show(out, true, struct {
+				Clusters []clusterJSON `json:"clusters"`
+				Seen     *audit.Report `json:"seen"`
+			}{list, r}, nil)
+		}
+		return nil
+	}
+	if asJSON {
+		if err := show(out, true, list, nil); err != nil {
+			return err
+		}
+	}
+	<-ctx.Done()
+	p.Say("ending")
+	return nil
+}
+
+// samples submits arrays and gangs, waits until all are done, and has what the
+// machines saw judged.
+func samples(ctx context.Context, d *dev.Dev, n int, say func(string, ...any)) (*audit.Report, error) {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var failed error
+	tasks := map[string]int{}
+	for _, c := range d.Clusters {
+		for i := 0; i < n; i++ {
+			id := fmt.Sprintf("wk-sample-%s%d", c.Name, i+1)
+			sub := standin.Spec(id, wire.Array, 8, 1, 4, nil)
+			if i%3 == 2 {
+				sub = standin.Spec(id, wire.Gang, 3, 2, 4, nil)
+			}
+			*sub.Trade = "sample"
+			tasks[id] = int(*sub.Pieces)
+			cl, err := client.New(c.Address())
+			if err != nil {
+				return nil, err
+			}
+			cl.Pause = time.Second / 2
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				_, err := cl.Submit(ctx, sub)
+				if err == nil {
+					_, err = cl.Wait(ctx, id, func(s *wire.JobState) { say("%s", client.Line(s)) })
+				}
+				if err != nil {
+					mu.Lock()
+					failed = fmt.Errorf("%s: %w", id, err)
+					mu.Unlock()
+				}
+			}()
+		}
+	}
+	wg.Wait()
+	if failed != nil {
+		return nil, failed
+	}
+	r, err := auditFile(filepath.Join(d.Dir(), "machines.jsonl"))
+	if err != nil {
+		return nil, err
+	}
+	for id, want := range tasks {
+		if r.Jobs[id] != want {
+			r.Wrong = append(r.Wrong, fmt.Sprintf("%s is done, machines finished %d of its %d tasks", id, r.Jobs[id], want))
+		}
+	}
+	say("machines saw %d tasks start %d times, %d finished once", r.Tasks, r.Starts, r.Finished)
+	if len(r.Wrong) > 0 {
+		return r, errors.New(r.Wrong[0])
+	}
+	return r, nil
+}
+
+func auditFile(name string) (*audit.Report, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	r, err := audit.Read(f)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	return r, nil
+}
+
+func auditCommand() *cobra.Command {
+	var asJSON bool
+	c := &cobra.Command{
+		Use: "audit FILE", Short: "Judge what machines saw: each task finished once, none in two places",
+		Long: "FILE is the machines.jsonl that `curlew dev` leaves in its folder.", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			r, err := auditFile(args[0])
+			if err != nil {
+				return err
+			}
+			if err := show(c.OutOrStdout(), asJSON, r, func(w io.Writer) {
+				fmt.Fprintf(w, "%d tasks of %d jobs, %d starts: %d finished once, %d still there, %d lost and not run again\n",
+					r.Tasks, len(r.Jobs), r.Starts, r.Finished, r.Left, r.Lost)
+				for _, c := range sorted(keys(r.By)) {
+					fmt.Fprintf(w, "finished in %s: %d\n", cmpName(c), r.By[c])
+				}
+				for _, x := range r.Wrong {
+					fmt.Fprintln(w, "WRONG", x)
+				}
+			}); err != nil {
+				return err
+			}
+			if len(r.Wrong) > 0 {
+				return fmt.Errorf("%d things were wrong", len(r.Wrong))
+			}
+			return nil
+		},
+	}
+	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	return c
+}
+
+func keys(m map[string]int) (out []string) {
+	for k := range m {
+		out = append(out, k)
+	}
+	return out
+}
+
+func cmpName(c string) string {
+	if c == "" {
+		return "the cluster"
+	}
+	return c
+}
--- /dev/null
+++ b/cmd/curlew/jobs.go
@@ -0,0 +1,224 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/spf13/cobra"
+
+	"curlewspool/internal/client"
+	"curlewspool/internal/wire"
+)
+
+// stateJSON is a job's state as printed.
+type stateJSON struct {
+	ID      string `json:"id"`
+	Status  string `json:"status"`
+	Done    *int   `json:"done,omitempty"`
+	Running *int   `json:"running,omitempty"`
+}
+
+type asker struct {
+	to       string
+	json     bool
+	patience time.Duration
+}
+
+func (a *asker) flags(c *cobra.Command) {
+	c.Flags().StringVar(&a.to, "to", os.Getenv("CURLEW_TO"), "the cluster: HOST:PORT, several with commas (default $CURLEW_TO)")
+	c.Flags().BoolVar(&a.json, "json", false, "print JSON")
+	c.Flags().DurationVar(&a.patience, "patience", time.Minute, "how long a question is repeated")
+}
+
+func (a *asker) client() (*client.Client, error) {
+	c, err := client.New(a.to)
+	if err == nil {
+		c.Patience = a.patience
+	}
+	return c, err
+}
+
+func (a *asker) print(out io.Writer, s *wire.JobState) error {
+	return show(out, a.json, &stateJSON{s.ID, s.Status, s.Done, s.Running}, func(w io.Writer) { fmt.Fprintln(w, client.Line(s)) })
+}
+
+func jobCommands() []*cobra.Command {
+	return []*cobra.Command{submitCommand(), statusCommand(), abortCommand(), waitCommand()}
+}
+
+// words of users for what the outer protocol spells differently.
+var (
+	shapes = map[string]string{"array": wire.Array, "gang": wire.Gang, "service": wire.Service}
+	ranks  = map[string]string{"prod": "prod", "high": "high", "normal": "standard", "low": "best_effort"}
+)
+
+func choice(flag, v string, of map[string]string) (string, error) {
+	if w, ok := of[v]; ok {
+		return w, nil
+	}
+	var words []string
+	for k := range of {
+		words = append(words, k)
+	}
+	return "", fmt.Errorf("--%s %q: must be one of %s", flag, v, strings.Join(sorted(words), ", "))
+}
+
+func submitCommand() *cobra.Command {
+	a := &asker{}
+	var id, shape, rank, class, team, image, zone, file string
+	var tasks uint64
+	var cores, gpus, memory, imageGb, estimate, mark, save, due float64
+	var types []string
+	var oneZone, spread, ordinary, wait bool
+	c := &cobra.Command{
+		Use: "submit", Short: "Submit a job", Args: cobra.NoArgs,
+		Example: "  curlew submit --to 127.0.0.1:8080 --tasks 20 --cores 1 --estimate 5 --wait",
+		RunE: func(c *cobra.Command, _ []string) error {
+			cl, err := a.client()
+			if err != nil {
+				return err
+			}
+			sub := &wire.Submission{}
+			if file != "" {
+				if sub, err = fromFile(file); err != nil {
+					return err
+				}
+			} else {
+				w, err := choice("shape", shape, shapes)
+				if err != nil {
+					return err
+				}
+				r, err := choice("rank", rank, ranks)
+				if err != nil {
+					return err
+				}
+				if id == "" {
+					id = "wk-" + uuid.NewString()
+				}
+				spot := !ordinary
+				sub = &wire.Submission{ID: &id, Trade: &class, Crew: &team, Shape: &w, Rank: &r, Pieces: &tasks, Cores: &cores, GPUs: &gpus,
+					Memory: &memory, Kit: &image, PullGb: &imageGb, Builds: types, Together: &oneZone, Apart: &spread, Loaners: &spot,
+					Reckon: &estimate, Mark: &mark, Stow: &save}
+				if zone != "" {
+					sub.Yard = &zone
+				}
+				if due > 0 {
+					sub.Due = &due
+				}
+			}
+			if _, bad := sub.Check(); bad != "" {
+				return fmt.Errorf("the job is not valid: %s", bad)
+			}
+			s, err := cl.Submit(c.Context(), sub)
+			if err == nil && wait {
+				if err = a.print(c.ErrOrStderr(), s); err == nil {
+					s, err = cl.Wait(c.Context(), *sub.ID, nil)
+				}
+			}
+			if err != nil {
+				return err
+			}
+			return a.print(c.OutOrStdout(), s)
+		},
+	}
+	a.flags(c)
+	f := c.Flags()
+	f.StringVar(&file, "file", "", "the job as JSON in the outer protocol's words, instead of flags")
+	f.StringVar(&id, "id", "", "the job's id, wk-...; the same id is the same job (default: a new one)")
+	f.StringVar(&shape, "shape", "array", "array, gang or service")
+	f.StringVar(&rank, "rank", "normal", "prod, high, normal or low")
+	f.StringVar(&class, "class", "sample", "class of jobs")
+	f.StringVar(&team, "team", "red", "team")
+	f.StringVar(&image, "image", "img-sample", "image")
+	f.Float64Var(&imageGb, "image-gb", 0.1, "its size in GB")
+	f.StringVar(&zone, "zone", "", "the only zone allowed")
+	f.StringSliceVar(&types, "types", nil, "machine types allowed (default: all)")
+	f.Uint64Var(&tasks, "tasks", 1, "number of tasks")
+	f.Float64Var(&cores, "cores", 1, "cores of a task")
+	f.Float64Var(&gpus, "gpus", 0, "accelerators of a task")
+	f.Float64Var(&memory, "memory", 1, "memory of a task in GB")
+	f.Float64Var(&estimate, "estimate", 10, "expected run time of a task in seconds")
+	f.Float64Var(&mark, "checkpoint", 0, "seconds of progress between checkpoints (0: none)")
+	f.Float64Var(&save, "save", 0, "seconds that saving takes")
+	f.Float64Var(&due, "due", 0, "deadline in seconds from now (0: none)")
+	f.BoolVar(&oneZone, "one-zone", false, "all tasks in one zone")
+	f.BoolVar(&spread, "spread", false, "at most half of the tasks in one zone")
+	f.BoolVar(&ordinary, "no-spot", false, "not on spot machines")
+	f.BoolVar(&wait, "wait", false, "wait until the job is over")
+	return c
+}
+
+func fromFile(name string) (*wire.Submission, error) {
+	b, err := os.ReadFile(name)
+	if err != nil {
+		return nil, err
+	}
+	var m map[string]any
+	if err := json.Unmarshal(b, &m); err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	if n, ok := m["pieces"].(float64); ok && n >= 0 && n == float64(uint64(n)) {
+		m["pieces"] = uint64(n)
+	}
+	s := &wire.Submission{}
+	if err := wire.Decode(wire.Encode(m), s); err != nil {
+		return nil, fmt.Errorf("%s: a field has the wrong type: %w", name, err)
+	}
+	return s, nil
+}
+
+// each asks for every job named and prints the answers in order.
+func each(a *asker, use, short string, ask func(*cobra.Command, *client.Client, string) (*wire.JobState, error)) *cobra.Command {
+	c := &cobra.Command{Use: use + " JOB...", Short: short, Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, ids []string) error {
+			cl, err := a.client()
+			if err != nil {
+				return err
+			}
+			for _, id := range ids {
+				s, err := ask(c, cl, id)
+				if err != nil {
+					return fmt.Errorf("%s: %w", id, err)
+				}
+				if err := a.print(c.OutOrStdout(), s); err != nil {
+					return err
+				}
+			}
+			return nil
+		}}
+	a.flags(c)
+	return c
+}
+
+func statusCommand() *cobra.Command {
+	return each(&asker{}, "status", "Tell the state of jobs", func(c *cobra.Command, cl *client.Client, id string) (*wire.JobState, error) {
+		return cl.Status(c.Context(), id)
+	})
+}
+
+func abortCommand() *cobra.Command {
+	return each(&asker{}, "abort", "Cancel jobs", func(c *cobra.Command, cl *client.Client, id string) (*wire.JobState, error) {
+		return cl.Abort(c.Context(), id)
+	})
+}
+
+func waitCommand() *cobra.Command {
+	a := &asker{}
+	return each(a, "wait", "Wait until jobs are over; exit status 1 if one was cancelled", func(c *cobra.Command, cl *client.Client, id string) (*wire.JobState, error) {
+		s, err := cl.Wait(c.Context(), id, func(s *wire.JobState) {
+			if !client.Over(s) {
+				fmt.Fprintln(c.ErrOrStderr(), client.Line(s))
+			}
+		})
+		if err == nil && s.Status == wire.Withdrawn {
+			err = errors.New("was cancelled")
+		}
+		return s, err
+	})
+}
--- /dev/null
+++ b/cmd/curlew/main.go
@@ -0,0 +1,47 @@
+// Command curlew is for users and operators of curlewspool: whole clusters on
+// the loopback, jobs, and checks of what machines saw.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	// The controller is linked so; one tool chain serves both.
+	_ "curlewspool/internal/clib"
+)
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "curlew:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "curlew",
+		Short:         "Submit jobs to curlewspool, and run whole clusters on this machine",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		Args:          cobra.NoArgs,
+	}
+	root.CompletionOptions.DisableDefaultCmd = true
+	root.AddCommand(devCommand(), auditCommand())
+	root.AddCommand(jobCommands()...)
+	return root
+}
+
+// show prints v as JSON, or by the words of people.
+func show(out io.Writer, asJSON bool, v any, words func(io.Writer)) error {
+	if !asJSON {
+		words(out)
+		return nil
+	}
+	e := json.NewEncoder(out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
--- /dev/null
+++ b/internal/audit/audit_test.go
@@ -0,0 +1,37 @@
+package audit
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+)
+
+// What machines write, and what is said of it.
+func TestRead(t *testing.T) {
+	say := func(at int, cluster, machine, task string, try int, what string) string {
+		return fmt.Sprintf(`{"at":%d,"cluster":%q,"machine":%q,"task":%q,"try":%d,"what":%q}`, at, cluster, machine, task, try, what) + "\n"
+	}
+	good := say(1, "w", "i-1", "wk-1/0", 1, "start") + say(2, "w", "i-1", "wk-1/0", 1, "killed") +
+		say(3, "e", "i-9", "wk-1/0", 2, "start") + say(4, "e", "i-9", "wk-1/0", 2, "done") + say(5, "w", "i-1", "wk-2/0", 3, "start")
+	for _, c := range []struct{ name, lines, wrong string }{
+		{"one after the other", good, ""},
+		{"two places", good + say(6, "e", "i-9", "wk-2/0", 4, "start"), "while it is on i-1"},
+		{"finished twice", good + say(6, "w", "i-1", "wk-1/0", 5, "start") + say(7, "w", "i-1", "wk-1/0", 5, "done"), "a second time"},
+		{"an end from nowhere", say(1, "w", "i-1", "wk-1/0", 1, "done"), "never started"},
+	} {
+		r, err := Read(strings.NewReader(c.lines))
+		if err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		if got := strings.Join(r.Wrong, "; "); c.wrong == "" && got != "" || !strings.Contains(got, c.wrong) {
+			t.Errorf("%s: said %q, want %q", c.name, got, c.wrong)
+		}
+	}
+	r, _ := Read(strings.NewReader(good))
+	if r.Tasks != 2 || r.Starts != 3 || r.Finished != 1 || r.Left != 1 || r.By["e"] != 1 {
+		t.Errorf("counted %+v", r)
+	}
+	if _, err := Read(strings.NewReader("{}\n")); err == nil {
+		t.Error("a line without a task was taken")
+	}
+}
--- /dev/null
+++ b/internal/dev/own_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package dev
+
+import "os/exec"
+
+func own(*exec.Cmd) {}
--- a/internal/standin/days_test.go
+++ b/internal/standin/days_test.go
@@ -81,7 +81,7 @@
 // links are a machine's ways to and from all controllers.
 func (s *Sim) links(w *Worker) (pairs [][2]string) {
 	for _, n := range s.all {
-		pairs = append(pairs, [2]string{w.Addr(), "api-" + n}, [2]string{w.Addr(), n})
+		pairs = append(pairs, [2]string{w.Addr(), s.api(n)}, [2]string{w.Addr(), s.addr(n)})
 	}
 	return pairs
 }
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -17,15 +17,17 @@
 
 // State is a stand-in for the state service, written from PROTOCOL.
 type State struct {
-	s      *Sim
-	Down   bool
-	rev    uint64
-	data   map[string]wire.Entry
-	log    []wire.Change
-	grants map[uint64]*grant
-	next   uint64
-	open   []func(final bool) bool
-	Writes int
+	s       *Sim
+	Addr    string
+	Down    bool
+	rev     uint64
+	data    map[string]wire.Entry
+	log     []wire.Change
+	dropped uint64 // changes up to this one are not kept any more
+	grants  map[uint64]*grant
+	next    uint64
+	open    []func(final bool) bool
+	Writes  int
 	// What of the limits was used.
 	requests, changes budget
 }
@@ -63,7 +65,7 @@
 	d := &s.S.Deployment.State
 	st := &State{s: s, data: map[string]wire.Entry{}, grants: map[uint64]*grant{},
 		requests: newBudget(d.RPS, d.RPS), changes: newBudget(d.WriteRPS, d.WriteRPS)}
-	s.serve["state"] = st.serve
+	st.Addr = s.listen(s.addr("state"), st.serve)
 	return st
 }
 
@@ -216,18 +218,30 @@
 			st.log = append(st.log, wire.Change{Delete: o.Delete, Stamp: st.rev})
 		}
 	}
+	if n := len(st.log) - kept; n > kept/10 {
+		st.dropped = st.log[n-1].Stamp
+		st.log = append([]wire.Change(nil), st.log[n:]...)
+	}
 	reply(200, &wire.TxnResult{Ledger: st.rev})
 	if len(t.Apply) > 0 {
 		st.wake()
 	}
 }
 
+// kept is how many changes the service remembers for watches.
+const kept = 10000
+
 func (st *State) watch(prefix string, since uint64, hold time.Duration, reply func(int, any)) {
 	answered := false
 	try := func(final bool) bool {
 		if answered || st.Down {
 			return answered
 		}
+		if since < st.dropped {
+			answered = true
+			reply(410, nil)
+			return true
+		}
 		c := wire.Changes{Ledger: st.rev, Log: []wire.Change{}}
 		for _, e := range st.log {
 			if e.Stamp > since && strings.HasPrefix(e.Put+e.Delete, prefix) {
@@ -275,6 +289,7 @@
 // Cloud is a stand-in for the cloud.
 type Cloud struct {
 	s     *Sim
+	Addr  string
 	Types []wire.MachineType
 	Left  map[string]int // by "type/zone/spot"
 	n     int
@@ -289,7 +304,7 @@
 		{Name: "big", Cores: 16, GPUs: 4, Memory: 64, CacheGb: 50, Fetch: 1, Price: 2, Spot: 0.6, Boot: 10, Zones: []string{"a", "b"}},
 	}}
 	c.calls = newBudget(s.S.Deployment.Cloud.RPS, 2*s.S.Deployment.Cloud.RPS)
-	s.serve["cloud"] = c.serve
+	c.Addr = s.listen(s.addr("cloud"), c.serve)
 	return c
 }
 
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -21,23 +21,57 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Sim is one simulated deployment.
-type Sim struct {
+// Net is what clusters have in common: the clock, the events to come and the
+// network. In simulated time events follow each other at once; driven by the
+// real clock (see live.go) the same code serves real sockets.
+type Net struct {
 	now    time.Duration
 	queue  events
 	n      int
 	rnd    *rand.Rand
-	S      *settings.Settings // as the first controller sees it
-	State  *State
-	Cloud  *Cloud
-	Nodes  map[string]*Host
 	serve  map[string]server // by address
 	cuts   map[string]bool
 	refuse map[string]bool // requests that get 503, by "from|to"
-	all    []string        // names of the controllers
 	held   map[string][]func()
 	Traced []string
 	Broken []string
+	live   *Live           // nil in simulated time
+	sims   map[string]*Sim // the clusters, by name
+	seen   *Seen
+}
+
+func newNet(seed uint64) *Net {
+	return &Net{refuse: map[string]bool{}, rnd: rand.New(rand.NewPCG(seed, 1)), serve: map[string]server{}, cuts: map[string]bool{},
+		held: map[string][]func(){}, sims: map[string]*Sim{}}
+}
+
+// listen puts a server at an address; driven by the real clock, at a free
+// port of the loopback, whose address it gives.
+func (n *Net) listen(addr string, srv server) string {
+	if n.live != nil {
+		return n.live.listen(srv)
+	}
+	n.serve[addr] = srv
+	return addr
+}
+
+// unlisten takes it away.
+func (n *Net) unlisten(addr string) {
+	delete(n.serve, addr)
+	if n.live != nil {
+		n.live.unlisten(addr)
+	}
+}
+
+// Sim is one cluster's surroundings: state service, cloud, machines, users.
+type Sim struct {
+	*Net
+	Name  string             // "" when it is the only one
+	S     *settings.Settings // as the first controller sees it
+	State *State
+	Cloud *Cloud
+	Nodes map[string]*Host
+	all   []string // names of the controllers
 
 	Workers  map[string]*Worker
 	jobs     map[string]*wire.Job
@@ -46,6 +80,14 @@
 	finished map[worker.Task]bool
 }
 
+// addr is a host's address; those of several clusters must not collide.
+func (s *Sim) addr(host string) string {
+	if s.Name == "" {
+		return host
+	}
+	return s.Name + "." + host
+}
+
 // server answers a request, now or later.
 type server func(method, path string, body []byte, reply func(status int, body any))
 
@@ -74,22 +116,24 @@
 func New(seed uint64) *Sim { return NewSized(seed, 3) }
 
 // NewSized makes one of several controllers.
-func NewSized(seed uint64, nodes int) *Sim {
-	s := &Sim{refuse: map[string]bool{}, rnd: rand.New(rand.NewPCG(seed, 1)), Nodes: map[string]*Host{}, serve: map[string]server{}, cuts: map[string]bool{},
-		held: map[string][]func(){}, Workers: map[string]*Worker{}, jobs: map[string]*wire.Job{},
+func NewSized(seed uint64, nodes int) *Sim { return newNet(seed).cluster("", nodes) }
+
+// cluster adds a cluster with its state service and cloud.
+func (n *Net) cluster(name string, nodes int) *Sim {
+	s := &Sim{Net: n, Name: name, Nodes: map[string]*Host{}, Workers: map[string]*Worker{}, jobs: map[string]*wire.Job{},
 		aborted: map[string]time.Duration{}, told: map[string]string{}}
+	n.sims[name] = s
 	for i := 0; i < nodes; i++ {
 		s.all = append(s.all, fmt.Sprintf("n%d", i))
 	}
-	names := s.all
-	for i, name := range names {
-		p := settings.Platform{Name: name, Zone: []string{"a", "b"}[i%2], API: name, Mesh: name}
-		for k, m := range names {
+	for i, name := range s.all {
+		p := settings.Platform{Name: name, Zone: []string{"a", "b"}[i%2], API: s.addr("api-" + name), Mesh: s.addr(name)}
+		for k, m := range s.all {
 			if m != name {
-				p.Members = append(p.Members, settings.Member{Name: m, Zone: []string{"a", "b"}[k%2], Address: m})
+				p.Members = append(p.Members, settings.Member{Name: m, Zone: []string{"a", "b"}[k%2], Address: s.addr(m)})
 			}
 		}
-		p.Services.State, p.Services.Cloud = "state", "cloud"
+		p.Services.State, p.Services.Cloud = s.addr("state"), s.addr("cloud")
 		d := &p.Deployment
 		d.Zones = []string{"a", "b"}
 		d.Teams = []settings.Team{{Name: "red"}, {Name: "blue", CoresMax: 3}, {Name: "green", Cores: 4, GPUs: 4, GPUsMax: 4}}
@@ -116,27 +160,32 @@
 }
 
 // Trace notes something for people to read.
-func (s *Sim) Trace(format string, a ...any) {
-	s.Traced = append(s.Traced, fmt.Sprintf("%8.2f ", s.now.Seconds())+fmt.Sprintf(format, a...))
+func (s *Net) Trace(format string, a ...any) {
+	line := fmt.Sprintf("%8.2f ", s.now.Seconds()) + fmt.Sprintf(format, a...)
+	if s.live != nil && s.live.Log != nil {
+		fmt.Fprintln(s.live.Log, line)
+		return
+	}
+	s.Traced = append(s.Traced, line)
 }
 
-func (s *Sim) broken(format string, a ...any) {
+func (s *Net) broken(format string, a ...any) {
 	s.Broken = append(s.Broken, fmt.Sprintf(format, a...))
 	s.Trace("BROKEN "+format, a...)
 }
 
-func (s *Sim) at(t time.Duration, f func()) {
+func (s *Net) at(t time.Duration, f func()) {
 	s.n++
 	heap.Push(&s.queue, event{t, s.n, f})
 }
 
-func (s *Sim) after(d time.Duration, f func()) { s.at(s.now+max(d, 0), f) }
+func (s *Net) after(d time.Duration, f func()) { s.at(s.now+max(d, 0), f) }
 
 // At does something at a time given in seconds.
-func (s *Sim) At(sec float64, f func()) { s.at(time.Duration(sec*float64(time.Second)), f) }
+func (s *Net) At(sec float64, f func()) { s.at(time.Duration(sec*float64(time.Second)), f) }
 
 // Run plays until a time given in seconds.
-func (s *Sim) Run(until float64) {
+func (s *Net) Run(until float64) {
 	end := time.Duration(until * float64(time.Second))
 	for len(s.queue) > 0 && s.queue[0].at <= end {
 		e := heap.Pop(&s.queue).(event)
@@ -148,20 +197,20 @@
 
 // Cut stops traffic between two addresses; what is sent meanwhile is held
 // back, and delivered by Heal.
-func (s *Sim) Cut(a, b string) {
+func (s *Net) Cut(a, b string) {
 	s.Trace("cut %s - %s", a, b)
 	s.cut(a, b)
 }
 
-func (s *Sim) cut(a, b string) { s.cuts[a+"|"+b], s.cuts[b+"|"+a] = true, true }
+func (s *Net) cut(a, b string) { s.cuts[a+"|"+b], s.cuts[b+"|"+a] = true, true }
 
 // Heal ends a cut.
-func (s *Sim) Heal(a, b string) {
+func (s *Net) Heal(a, b string) {
 	s.Trace("heal %s - %s", a, b)
 	s.heal(a, b)
 }
 
-func (s *Sim) heal(a, b string) {
+func (s *Net) heal(a, b string) {
 	for _, k := range []string{a + "|" + b, b + "|" + a} {
 		delete(s.cuts, k)
 		for _, f := range s.held[k] {
@@ -174,7 +223,7 @@
 // CutZone cuts everything in a zone off from everything outside; the function
 // it gives heals the cut.
 func (s *Sim) CutZone(zone string) (heal func()) {
-	inside, outside := []string{}, []string{"state", "cloud", "user"}
+	inside, outside := []string{}, []string{s.addr("state"), s.addr("cloud"), s.addr("user")}
 	place := func(z string, hosts ...string) {
 		if z == zone {
 			inside = append(inside, hosts...)
@@ -183,7 +232,7 @@
 		}
 	}
 	for _, n := range s.all {
-		place(s.Nodes[n].set.Zone, n, "api-"+n)
+		place(s.Nodes[n].set.Zone, s.addr(n), s.addr("api-"+n))
 	}
 	for _, id := range s.workerIDs() {
 		place(s.Workers[id].zone, s.Workers[id].addr)
@@ -204,17 +253,17 @@
 }
 
 // Refuse lets a service answer one host 503, or ends that.
-func (s *Sim) Refuse(from, to string, on bool) {
+func (s *Net) Refuse(from, to string, on bool) {
 	s.Trace("%s refuses %s: %v", to, from, on)
 	s.refuse[from+"|"+to] = on
 }
 
-func (s *Sim) latency() time.Duration {
+func (s *Net) latency() time.Duration {
 	return time.Millisecond + time.Duration(s.rnd.IntN(2000))*time.Microsecond
 }
 
 // deliver carries one message.
-func (s *Sim) deliver(from, to string, f func()) {
+func (s *Net) deliver(from, to string, f func()) {
 	if k := from + "|" + to; s.cuts[k] {
 		s.held[k] = append(s.held[k], f)
 		return
@@ -223,11 +272,20 @@
 }
 
 // call is one request and its answer; done is called once, with 0 at the time-out.
-func (s *Sim) call(from, to, method, path string, in, out any, timeout time.Duration, done func(int)) {
+func (s *Net) call(from, to, method, path string, in, out any, timeout time.Duration, done func(int)) {
 	var body []byte
 	if in != nil {
 		body = wire.Encode(in)
 	}
+	if s.live != nil {
+		s.live.call(to, method, path, body, timeout, func(status int, b []byte) {
+			if out != nil && len(b) > 0 && wire.Decode(b, out) != nil {
+				status = 0
+			}
+			done(status)
+		})
+		return
+	}
 	over := false
 	s.after(timeout, func() {
 		if !over {
@@ -285,7 +343,7 @@
 
 // Crash ends it without warning.
 func (h *Host) Crash() {
-	h.s.Trace("%s crashes", h.name)
+	h.s.Trace("%s crashes", h.s.addr(h.name))
 	h.up = false
 	h.life++
 }
@@ -308,7 +366,7 @@
 }
 
 func (w *world) Call(addr, method, path string, in, out any, timeout time.Duration, done func(int)) {
-	w.h.s.call(w.h.name, addr, method, path, in, out, timeout, func(status int) {
+	w.h.s.call(w.h.s.addr(w.h.name), addr, method, path, in, out, timeout, func(status int) {
 		if w.alive() {
 			done(status)
 		}
@@ -322,7 +380,7 @@
 		panic(err)
 	}
 	s := w.h.s
-	if s.cuts[w.h.name+"|"+member] {
+	if s.cuts[s.addr(w.h.name)+"|"+s.addr(member)] {
 		return // a mesh connection gives up after a while
 	}
 	s.after(s.latency(), func() {
@@ -347,4 +405,4 @@
 }
 
 // Text is the whole trace.
-func (s *Sim) Text() string { return strings.Join(s.Traced, "\n") + "\n" }
+func (s *Net) Text() string { return strings.Join(s.Traced, "\n") + "\n" }
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -27,7 +27,7 @@
 func (s *Sim) API() {
 	for _, name := range s.all {
 		h := s.Nodes[name]
-		s.serve["api-"+name] = func(method, path string, body []byte, reply func(int, any)) {
+		s.serve[s.addr("api-"+name)] = func(method, path string, body []byte, reply func(int, any)) {
 			if !h.up {
 				return
 			}
@@ -49,12 +49,15 @@
 	}
 }
 
+// api is where a controller serves users and workers.
+func (s *Sim) api(name string) string { return s.Nodes[name].set.API }
+
 func (s *Sim) anyNode() string {
 	n := s.names()
 	if len(n) == 0 {
-		return "api-n0"
+		return s.api("n0")
 	}
-	return "api-" + n[s.rnd.IntN(len(n))]
+	return s.api(n[s.rnd.IntN(len(n))])
 }
 
 // Submit submits at a time given in seconds, repeats until it is accepted,
@@ -68,7 +71,7 @@
 	if j, bad := sub.Check(); bad == "" && s.jobs[id] == nil {
 		s.jobs[id] = j
 	}
-	s.call("user", s.anyNode(), "POST", "/v2/runs", sub, nil, 5*time.Second, func(status int) {
+	s.call(s.addr("user"), s.anyNode(), "POST", "/v2/runs", sub, nil, 5*time.Second, func(status int) {
 		switch status {
 		case 200, 201:
 			s.Trace("%s accepted", id)
@@ -87,7 +90,7 @@
 // Ask makes one request and traces its status.
 func (s *Sim) Ask(at float64, method, path string, body any) {
 	s.At(at, func() {
-		s.call("user", s.anyNode(), method, path, body, nil, 5*time.Second, func(status int) {
+		s.call(s.addr("user"), s.anyNode(), method, path, body, nil, 5*time.Second, func(status int) {
 			s.Trace("%s %s -> %d", method, path, status)
 		})
 	})
@@ -95,7 +98,7 @@
 
 func (s *Sim) poll(id string) {
 	out := &wire.JobState{}
-	s.call("user", s.anyNode(), "GET", "/v2/runs/"+id, nil, out, 2*time.Second, func(status int) {
+	s.call(s.addr("user"), s.anyNode(), "GET", "/v2/runs/"+id, nil, out, 2*time.Second, func(status int) {
 		switch {
 		case status == 404:
 			s.broken("forgotten: %s gets 404", id)
@@ -142,7 +145,7 @@
 		s.aborted[id] = 1 // asked for
 	}
 	out := &wire.JobState{}
-	s.call("user", s.anyNode(), "POST", "/v2/runs/"+id+"/abort", nil, out, 5*time.Second, func(status int) {
+	s.call(s.addr("user"), s.anyNode(), "POST", "/v2/runs/"+id+"/abort", nil, out, 5*time.Second, func(status int) {
 		if status != 200 {
 			s.after(time.Second, func() { s.abort(id) })
 			return
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -50,15 +50,15 @@
 // AddWorker puts a running machine there.
 func (s *Sim) AddWorker(typ, zone string, spot bool) *Worker {
 	s.Cloud.n++
-	id := fmt.Sprintf("i-%03d", s.Cloud.n)
-	w := &Worker{s: s, id: id, addr: "w-" + id, zone: zone, spot: spot, rented: s.now, up: true, session: 1, begun: s.now}
+	id := s.addr(fmt.Sprintf("i-%03d", s.Cloud.n))
+	w := &Worker{s: s, id: id, zone: zone, spot: spot, rented: s.now, up: true, session: 1, begun: s.now}
 	for _, t := range s.Cloud.Types {
 		if t.Name == typ {
 			w.typ = t
 		}
 	}
 	s.Workers[id] = w
-	s.serve[w.addr] = w.serve
+	w.addr = s.listen("w-"+id, w.serve)
 	s.after(10*time.Millisecond, w.report)
 	s.after(time.Second, w.lease)
 	return w
@@ -75,8 +75,9 @@
 }
 
 func (w *Worker) vanish() {
+	w.leave("machine gone")
 	w.gone, w.up, w.tasks = true, false, nil
-	delete(w.s.serve, w.addr)
+	w.s.unlisten(w.addr)
 }
 
 // Die takes the machine away without a word.
@@ -107,6 +108,7 @@
 		if len(w.tasks) > 0 {
 			w.s.Trace("%s lease over, kills %d", w.id, len(w.tasks))
 		}
+		w.leave("killed")
 		w.tasks = nil
 		w.session++
 		w.begun = w.s.now
@@ -166,7 +168,7 @@
 	r := w.body()
 	out := &answer{}
 	period := time.Duration(w.s.S.Deployment.Workers.Report * float64(time.Second))
-	w.s.call(w.addr, "api-"+to, "POST", "/v1/report", r, out, 4*time.Second, func(status int) {
+	w.s.call(w.addr, w.s.api(to), "POST", "/v1/report", r, out, 4*time.Second, func(status int) {
 		w.busy = false
 		if w.gone {
 			return
@@ -295,6 +297,7 @@
 			return
 		}
 		t.on = true
+		w.sight(t, "start")
 		w.s.started(w, t, job)
 		if job.Shape == wire.Gang {
 			t.state = wire.Waiting
@@ -341,6 +344,9 @@
 
 func (w *Worker) end(t *task, cause string) {
 	t.gen++
+	if t.on {
+		w.sight(t, cause)
+	}
 	t.state, t.cause, t.on = wire.Ended, cause, false
 	if cause == wire.Done {
 		w.s.done(t.Task)
