Federation: loans of queued chunks, their rules, two clusters in one simulated world

A full cluster kept its queue to itself. The leader now may lend a chunk that would start later here than at a partner: the chunk's owner writes that it is away, the host's leader stores it before it accepts, the host's controllers run it only for a term from when they asked home's leader, who answers on proof. Home takes it back by the host's durable word or when term and lease have run out. Off without a [federation] section; no listener yet, so not usable by operators.

--- /dev/null
+++ b/internal/federation/words.go
@@ -0,0 +1,135 @@
+// Package federation lends queued work to partner clusters and borrows theirs:
+// offers, the hand-over, renewals, results, and what may be taken back when
+// (docs/federation.md). The rules of time are those of package loan.
+package federation
+
+import (
+	"curlewspool/internal/loan"
+	"curlewspool/internal/wire"
+)
+
+// Paths of the partners' listener, all POST, with CBOR bodies of at most
+// wire.MaxBody. The caller is known by its certificate.
+const (
+	PathOffers   = "/v1/offers"   // home asks the host's leader for room
+	PathLoans    = "/v1/loans"    // home hands one loan over
+	PathStates   = "/v1/states"   // home asks how its loans are
+	PathRenewals = "/v1/renewals" // a controller of the host asks home's leader
+)
+
+// Limits of one request.
+const (
+	mostWants = 16
+	mostLoans = 400
+)
+
+// Want is work that waits at home.
+type Want struct {
+	Job   wire.Job `cbor:"j"`
+	Tasks int      `cbor:"n"`
+}
+
+// OffersAsk is the body of PathOffers.
+type OffersAsk struct {
+	Wants []Want `cbor:"w"`
+}
+
+// Offer answers one want: room that is held for a moment.
+type Offer struct {
+	ID    uint64 `cbor:"id"` // 0: none
+	Tasks int    `cbor:"n"`  // that would start now
+	Why   string `cbor:"y,omitempty"`
+}
+
+// OffersAnswer has one offer for each want.
+type OffersAnswer struct {
+	Offers []Offer `cbor:"o"`
+}
+
+// LoanAsk hands a loan over. It may be repeated.
+type LoanAsk struct {
+	ID     string   `cbor:"id"` // of the borrowed job, see loan.Key.ID
+	Job    wire.Job `cbor:"j"`
+	Offer  uint64   `cbor:"of"`
+	Done   [][2]int `cbor:"d,omitempty"`
+	TermMs int64    `cbor:"tm"`
+}
+
+// StatesAsk is the body of PathStates. Loans in End are over at home; those in
+// Recall are wanted back if nothing of them has started.
+type StatesAsk struct {
+	Loans  []string `cbor:"l"`
+	End    []string `cbor:"e,omitempty"`
+	Recall []string `cbor:"r,omitempty"`
+}
+
+// States of a loan at the host.
+const (
+	StateUnknown = "unknown"
+	StateLater   = "later" // cannot be told now
+	StateQueued  = "queued"
+	StateRunning = "running"
+	StateOver    = "over" // durable: nothing of it is left, Done is final
+)
+
+// State tells how a loan is. Tasks are numbered from 0 within the loan.
+type State struct {
+	State   string   `cbor:"s"`
+	Running int      `cbor:"r"`
+	Done    [][2]int `cbor:"d,omitempty"`
+}
+
+// StatesAnswer has one state for each loan asked for.
+type StatesAnswer struct {
+	States []State `cbor:"s"`
+}
+
+// RenewalsAsk asks whether loans may go on.
+type RenewalsAsk struct {
+	LeaseMs int64    `cbor:"lm"` // of the host's machines
+	Loans   []string `cbor:"l"`
+}
+
+// RenewalsAnswer splits them: Hold may go on for the term of the loan from
+// when the question was sent, End are to be stopped. What is in neither is not
+// known now.
+type RenewalsAnswer struct {
+	Hold []string `cbor:"h"`
+	End  []string `cbor:"e"`
+}
+
+// Reply answers one request; retry is the Retry-After in seconds, 0: none.
+type Reply func(status int, body any, retry int)
+
+// borrowedJob is a loan's job as the host keeps it: nobody's rank, no team of
+// the host, the whole loan as tasks from 0.
+func borrowedJob(id, home string, j *wire.Job) wire.Job {
+	b := *j
+	b.ID, b.Team, b.Class = id, "@"+home, "@"+home+"/"+j.Class
+	b.Rank, b.Zone = -1, ""
+	return b
+}
+
+// sane tells what is wrong with a job that a partner wants to lend.
+func sane(j *wire.Job) string {
+	ok := func(v float64) bool { return v >= 0 && v < 1e9 }
+	switch {
+	case j.Tasks < 1 || j.Tasks > 100000:
+		return "number of tasks"
+	case !ok(j.Cores) || !ok(j.GPUs) || !ok(j.Memory) || !ok(j.ImageGb) || !ok(j.Estimate) || !ok(j.Mark) || !ok(j.Save) || !ok(j.Deadline):
+		return "an amount"
+	case j.Shape != wire.Array && j.Shape != wire.Gang && j.Shape != wire.Service:
+		return "shape"
+	case j.Zone != "":
+		return "zone: it names one of its home"
+	case len(j.Image) > 1024 || len(j.Class) > 256 || len(j.Types) > 64:
+		return "field too long"
+	}
+	return ""
+}
+
+// keyOf reads a loan's name, if it is of that home.
+func keyOf(id, home string) (loan.Key, bool) {
+	h, k, ok := loan.Parse(id)
+	return k, ok && h == home
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -26,6 +26,10 @@
 	Plan(j *wire.Job, done func(rank, chunk int, parts []int))
 	// News tells the owners of a job's parts that its record changed.
 	News(id string)
+	// Reserved: no user may use such an id.
+	Reserved(id string) bool
+	// Elsewhere says which of the job's tasks are at partner clusters.
+	Elsewhere(id string) []wire.Elsewhere
 }
 
 // Reply answers one request; retry is the Retry-After in seconds, 0: none.
@@ -100,6 +104,7 @@
 	if started && running > 0 {
 		s.Status = wire.Running
 	}
+	s.Elsewhere = in.h.Elsewhere(id)
 	return s
 }
 
@@ -129,13 +134,17 @@
 		if wire.IsMap(body) && len(body) <= wire.MaxBody && wire.Decode(body, &only) == nil {
 			id, _ = only.ID.(string)
 		}
-		if !wire.ValidJobID(id) {
+		if !wire.ValidJobID(id) || in.h.Reserved(id) {
 			reply(400, &wire.Problem{Error: bad}, 0)
 			return
 		}
 		in.unless(id, reply, func() { reply(400, &wire.Problem{Error: bad}, 0) })
 		return
 	}
+	if in.h.Reserved(job.ID) {
+		reply(400, &wire.Problem{Error: "this id is reserved for borrowed jobs"}, 0)
+		return
+	}
 	if f, ok := in.finals[job.ID]; ok {
 		reply(200, finalState(job.ID, f), 0)
 		return
@@ -247,7 +256,7 @@
 
 // Poll handles GET /v2/runs/{id}.
 func (in *Intake) Poll(id string, reply Reply) {
-	if !wire.ValidJobID(id) {
+	if !wire.ValidJobID(id) || in.h.Reserved(id) {
 		reply(404, &wire.Problem{Error: "no such job"}, 0)
 		return
 	}
@@ -261,7 +270,7 @@
 
 // Abort handles POST /v2/runs/{id}/abort.
 func (in *Intake) Abort(id string, reply Reply) {
-	if !wire.ValidJobID(id) {
+	if !wire.ValidJobID(id) || in.h.Reserved(id) {
 		reply(404, &wire.Problem{Error: "no such job"}, 0)
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"curlewspool/internal/dispatch"
+	"curlewspool/internal/federation"
 	"curlewspool/internal/fleet"
 	"curlewspool/internal/intake"
 	"curlewspool/internal/lead"
@@ -66,6 +67,8 @@
 
 	demand   map[string][2]float64
 	demandAt time.Duration
+
+	desk *federation.Desk // nil: no partners
 }
 
 type peer struct {
@@ -181,6 +184,13 @@
 			doneTasks += r[1] - r[0] + 1
 		}
 	}
+	if len(rec.Done) > 0 || len(rec.Away) > 0 { // some of it was, or is, at a partner
+		ranges, abroad := n.Progress(id)
+		doneTasks, running, started = 0, abroad, true
+		for _, r := range ranges {
+			doneTasks += r[1] - r[0] + 1
+		}
+	}
 	doneTasks = min(doneTasks, rec.Job.Tasks)
 	return doneTasks, min(running, rec.Job.Tasks-doneTasks), started
 }
@@ -231,6 +241,9 @@
 		id := key[4:]
 		if value == nil {
 			delete(n.jobs, id)
+			if n.desk != nil {
+				n.desk.Changed(id, nil)
+			}
 			if n.progress[id] != nil {
 				n.orphans[id] = true
 			}
@@ -244,6 +257,9 @@
 		}
 		n.jobs[id] = rec
 		n.noteLarge(&rec.Job)
+		if n.desk != nil {
+			n.desk.Changed(id, rec)
+		}
 		e, _ := n.l.Get(key)
 		n.eachPart(func(p *part.Part) { p.OnJob(id, rec, e.Stamp); n.feedProgress(p, id) })
 	case strings.HasPrefix(key, "a/p/"):
@@ -286,6 +302,9 @@
 	n.book.Forget()
 	n.jobs, n.progress, n.machines = map[string]*part.JobRecord{}, map[string]map[int]*part.Progress{}, map[string]*part.MachineRecord{}
 	n.orphans, n.rosters = map[string]bool{}, map[string][]string{}
+	if n.desk != nil {
+		n.desk.Reset()
+	}
 }
 
 func (n *Node) feedProgress(p *part.Part, id string) {
@@ -327,6 +346,9 @@
 		if n.fleet == nil {
 			n.fleet = fleet.New(n.w, n.s, token)
 			n.resetSlots()
+			if n.desk != nil {
+				n.desk.Lead(token)
+			}
 		}
 		return
 	}
@@ -672,6 +694,9 @@
 	}
 	st.Spared = n.leads() && n.fleet.Spared()
 	n.moves()
+	if n.desk != nil {
+		n.desk.Tick()
+	}
 	for _, name := range sortedKeys(n.peers) { // last: moves take from the free room
 		n.w.Send(name, &mesh.Envelope{Body: &mesh.Envelope_Status{Status: st}})
 	}
@@ -718,7 +743,7 @@
 // noteLarge remembers the shapes for which machines are kept whole. Every
 // controller sees all jobs, so all parts keep theirs.
 func (n *Node) noteLarge(j *wire.Job) {
-	if j.Shape != wire.Gang && j.Tasks > 1 {
+	if j.Shape != wire.Gang && j.Tasks > 1 || j.Rank < 0 {
 		return
 	}
 	if len(n.large) >= 64 {
@@ -885,6 +910,9 @@
 	}
 	var busy fleet.Busy
 	for id, rec := range n.jobs {
+		if rec.Loan != nil {
+			continue // nothing is rented, or kept, for it
+		}
 		_, running, _ := n.Counts(id)
 		cores := float64(running) * max(rec.Job.Cores, rec.Job.GPUs)
 		if rec.Job.Spot {
@@ -1070,6 +1098,10 @@
 		if n.book.Owner(lead.Leader) == e.From {
 			n.lendOut(b.Lend)
 		}
+	case *mesh.Envelope_LendOut:
+		if n.book.Owner(lead.Leader) == e.From {
+			n.orderHere(orderOf(b.LendOut))
+		}
 	case *mesh.Envelope_News:
 		n.l.Refresh()
 	}
@@ -1174,6 +1206,9 @@
 func (n *Node) Poll(id string, reply intake.Reply)     { n.intake.Poll(id, reply) }
 func (n *Node) Abort(id string, reply intake.Reply)    { n.intake.Abort(id, reply) }
 
+// Reserved: with partners, some ids belong to what is borrowed from them.
+func (n *Node) Reserved(id string) bool { return n.desk != nil && federation.Reserved(id) }
+
 // Up tells the load balancer whether to send users here. A node that the
 // state service alone refuses sends them elsewhere; in an outage for all it
 // would only make the way back longer.
@@ -1202,6 +1237,8 @@
 	Jobs     int               `cbor:"jobs" json:"live_jobs"`
 	Machines int               `cbor:"machines" json:"machines"`
 	Intake   string            `cbor:"intake" json:"intake"`
+	// Federation is nil without partners.
+	Federation *federation.View `cbor:"federation,omitempty" json:"federation,omitempty"`
 }
 
 // PartState is one part that the controller owns.
@@ -1222,5 +1259,8 @@
 			s.Waiting[id] = why
 		}
 	})
+	if n.desk != nil {
+		s.Federation = n.desk.Describe()
+	}
 	return s
 }
--- a/internal/part/job.go
+++ b/internal/part/job.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"curlewspool/internal/loan"
 	"curlewspool/internal/wire"
 	"curlewspool/internal/worker"
 )
@@ -15,7 +16,41 @@
 	At    float64  `cbor:"at"` // time of day of acceptance, seconds
 	Rank  int      `cbor:"r"`  // the leader's margin rank
 	Chunk int      `cbor:"ch"` // tasks of a chunk
-	Parts []int    `cbor:"p"`  // part of each chunk
+	Parts []int    `cbor:"p"`  // part of each chunk; Lent: at a partner
+
+	Away   []Away   `cbor:"aw,omitempty"` // the chunks that are lent
+	LoanNo uint64   `cbor:"ln,omitempty"` // of the latest loan; only grows
+	Done   [][2]int `cbor:"dn,omitempty"` // tasks known done when a chunk was lent or came back
+	Loan   *Loan    `cbor:"lo,omitempty"` // borrowed: whose it is
+}
+
+// Lent is the part of a chunk that is at a partner: nobody's here.
+const Lent = -1
+
+// Away says where a chunk is. While it stands, the partner may run its tasks.
+type Away struct {
+	Chunk int     `cbor:"c"`
+	First int     `cbor:"f"` // its first task
+	To    string  `cbor:"to"`
+	No    uint64  `cbor:"n"`
+	By    uint64  `cbor:"by"` // the leadership that ordered it
+	At    float64 `cbor:"at"` // time of day, seconds
+	Offer uint64  `cbor:"of"`
+	Why   string  `cbor:"y"`
+	// The figures under which it was lent; settings may change meanwhile.
+	TermMs  int64 `cbor:"tm"`
+	LeaseMs int64 `cbor:"lm"`
+}
+
+// Loan is what the host of a borrowed job keeps of it.
+type Loan struct {
+	Home   string `cbor:"h"`
+	Job    string `cbor:"j"` // as home calls it
+	First  int    `cbor:"f"`
+	No     uint64 `cbor:"n"`
+	TermMs int64  `cbor:"tm"`
+	Ending bool   `cbor:"e"` // to be stopped and given back
+	Recall bool   `cbor:"r"` // to be given back if none of it is on a machine
 }
 
 // Progress is what a part's owner keeps of a job, under ProgressKey. One
@@ -67,6 +102,8 @@
 	Status string  `cbor:"s"`
 	Tasks  int     `cbor:"n"`
 	At     float64 `cbor:"at"`
+	// Done lists the tasks of a borrowed job that ended well; all, if it is done.
+	Done [][2]int `cbor:"d,omitempty"`
 }
 
 // Keys of the ledger. Finals are outside the cached root.
@@ -139,6 +176,9 @@
 	why      string                   // why it waits, for operators
 	score    float64
 	starts   time.Duration // when it is expected to start, if it is reserved for
+	permit   *loan.Permit  // borrowed: until when its home lets it run
+	placedAt time.Duration // borrowed: when some of it was last on a machine
+	over     bool          // borrowed: its home says that it is over there
 }
 
 type placement struct {
@@ -147,8 +187,12 @@
 }
 
 func newWork(rec *JobRecord, stamp uint64, now time.Duration) *Work {
-	return &Work{Rec: rec, Stamp: stamp, state: make([]uint8, rec.Job.Tasks), left: rec.Job.Tasks,
+	w := &Work{Rec: rec, Stamp: stamp, state: make([]uint8, rec.Job.Tasks), left: rec.Job.Tasks,
 		runs: map[worker.Task]*placement{}, strays: map[*worker.Run]*Machine{}, queuedAt: now, failedOn: map[string]int{}, avoid: map[string]time.Duration{}}
+	if rec.Loan != nil {
+		w.permit, w.placedAt = &loan.Permit{}, now
+	}
+	return w
 }
 
 // covers: the ledger says, and whatever is under way will say, that the job
@@ -265,3 +309,7 @@
 	}
 	return out
 }
+
+func sortRanges(r [][2]int, less func(a, b [2]int) bool) {
+	sort.SliceStable(r, func(i, j int) bool { return less(r[i], r[j]) })
+}
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -164,6 +164,7 @@
 		slog.Debug("part: queued", "part", p.K, "job", id, "tasks", rec.Job.Tasks, "rank", rec.Rank)
 	}
 	w.Rec, w.Stamp = rec, stamp
+	w.absorb(&Progress{Done: rec.Done}, p.K)
 	w.recount(p.K)
 }
 
@@ -340,6 +341,7 @@
 		return
 	}
 	w.set(run.Index, placed)
+	run.Permit = w.permit
 	w.runs[run.Task] = &placement{m, run}
 	if w.gang() {
 		w.try = run.Try
@@ -543,6 +545,9 @@
 	for _, w := range p.works() {
 		p.maybeFinish(w)
 		p.writeProgress(w, now, every)
+		if w.borrowed() {
+			p.mindLoan(w, now)
+		}
 	}
 	p.softFree = -1
 	for _, m := range p.machines() {
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -100,7 +100,7 @@
 				continue
 			}
 			r.take(&w.Rec.Job)
-			if w.Rec.Job.Rank == 0 && w.Rec.Job.Mark > 0 {
+			if w.Rec.Job.Rank <= 0 && w.Rec.Job.Mark > 0 {
 				r.softC += w.Rec.Job.Cores
 				r.softG += w.Rec.Job.GPUs
 				r.softM += w.Rec.Job.Memory
@@ -177,6 +177,8 @@
 		case blocked(w):
 			w.why = "may be on a machine that is silent"
 			continue
+		case w.borrowed() && !p.permitted(w, now):
+			continue
 		case now < w.notTo:
 			w.why = "its last start failed"
 			continue
@@ -275,6 +277,10 @@
 		if full || p.head != nil {
 			continue
 		}
+		if w.borrowed() {
+			w.why = "borrowed: starts in room that nothing of this cluster waits for"
+			continue
+		}
 		// The head: reserve what it needs at the earliest time.
 		p.head = w
 		w.why = "is the head and waits for room"
@@ -370,6 +376,7 @@
 		}
 		hold := !w.covers(r.m.ID)
 		run := r.m.Place(t, try, hold, now)
+		run.Permit = w.permit
 		w.runs[t] = &placement{r.m, run}
 		w.set(i, placed)
 		w.held = w.held || hold
@@ -482,14 +489,16 @@
 // kept: a machine on which one of the large shapes seen lately could start now
 // is not cut up for small tasks, but for what the large one would leave free,
 // and for work that it may stop without loss.
-func (p *Part) kept(r *room, j *wire.Job) bool {
+func (p *Part) kept(r *room, j *wire.Job) bool { return kept(p.h, r, j) }
+
+func kept(h Host, r *room, j *wire.Job) bool {
 	if r.m.Spot {
 		return false
 	}
-	if j.Spot && !r.m.rec.Own && p.h.Spared() {
+	if j.Spot && !r.m.rec.Own && h.Spared() {
 		return true // it is to become empty, and to be returned
 	}
-	for _, s := range p.h.Large() {
+	for _, s := range h.Large() {
 		l := &s.Job
 		if 2*l.Cores <= r.t.Cores || 2*j.Cores >= l.Cores || l.Rank < j.Rank || !Allows(l, r.t, r.m.Zone, r.m.Spot) {
 			continue
@@ -620,10 +629,14 @@
 		}
 	}
 	if best == nil {
-		return p.preempt(w, rooms, need, now)
+		return p.preempt(w, rooms, need, now, nil)
 	}
 	w.starts = start
-	if p.tooLate(w, start, now) && p.preempt(w, rooms, need, now) {
+	// What is borrowed gives way to a job of this cluster that would wait.
+	if start > now && p.preempt(w, rooms, need, now, (*Work).borrowed) {
+		return true
+	}
+	if p.tooLate(w, start, now) && p.preempt(w, rooms, need, now, nil) {
 		return true
 	}
 	for r, o := range best {
@@ -676,8 +689,8 @@
 
 // preempt stops work that may be stopped for w (PROTOCOL, "Preemption") if
 // that frees room for the tasks it needs. While victims save, their room
-// stays reserved for w.
-func (p *Part) preempt(w *Work, rooms []*room, need int, now time.Duration) bool {
+// stays reserved for w. only: of what may be stopped, that; nil: all.
+func (p *Part) preempt(w *Work, rooms []*room, need int, now time.Duration, only func(*Work) bool) bool {
 	j := &w.Rec.Job
 	entitled := p.guaranteed(j.Team)
 	type plan struct {
@@ -694,7 +707,7 @@
 		for _, key := range r.m.Keys() {
 			run := r.m.Runs[key]
 			o := p.Works[run.Job]
-			if o == nil || run.Over() || o == w {
+			if o == nil || run.Over() || o == w || only != nil && !only(o) {
 				continue
 			}
 			if o.Rec.Job.Rank < j.Rank || entitled && p.borrows(o.Rec.Job.Team, j.Team) {
@@ -786,8 +799,8 @@
 	var gaps []*mesh.Gap
 	queued := 0
 	for _, w := range p.works() {
-		if w.idle == 0 || w.ending {
-			continue
+		if w.idle == 0 || w.ending || w.borrowed() {
+			continue // nothing is rented, and no job goes elsewhere, for what is borrowed
 		}
 		queued += w.idle
 		s.Add(min(w.Rec.Rank, top), dispatch.Work(&w.Rec.Job, w.idle))
@@ -894,8 +907,8 @@
 		if t := p.h.Settings().Team(j.Team); t != nil && t.Limited() {
 			continue
 		}
-		if now-w.queuedAt < p.report()/8 {
-			continue
+		if now-w.queuedAt < p.report()/8 || w.borrowed() && now-w.queuedAt < 2*p.report() {
+			continue // what is borrowed needs its home's word anew in another part
 		}
 		for c, k := range w.Rec.Parts {
 			if k != p.K {
@@ -930,18 +943,8 @@
 func (p *Part) roomFor(j *wire.Job, n int, all bool, o *mesh.PartStatus) bool {
 	fit := 0
 	zone := map[string]int{}
-	count := func(f *mesh.Room) int {
-		if !Allows(j, p.h.TypeOf(f.Type), f.Zone, f.Spot) {
-			return 0
-		}
-		return (&wire.MachineType{Cores: f.Cores, GPUs: f.Gpus, Memory: f.MemoryGb}).Fits(j, n)
-	}
 	for _, f := range o.Free {
-		k := count(f)
-		if k == 0 || p.kept(&room{m: &Machine{Machine: &worker.Machine{Zone: f.Zone, Spot: f.Spot}, rec: MachineRecord{Own: f.Own}}, t: p.h.TypeOf(f.Type),
-			cores: f.Cores, gpus: f.Gpus, mem: f.MemoryGb}, j) {
-			continue
-		}
+		k := min(n, RoomFor(p.h, j, f))
 		fit += k
 		zone[f.Zone] += k
 	}
@@ -957,7 +960,10 @@
 	}
 	left := n
 	for _, f := range o.Free {
-		k := min(count(f), left)
+		if !Allows(j, p.h.TypeOf(f.Type), f.Zone, f.Spot) {
+			continue
+		}
+		k := min(fitsRoom(j, f), left)
 		f.Cores -= float64(k) * j.Cores
 		f.Gpus -= float64(k) * j.GPUs
 		f.MemoryGb -= float64(k) * j.Memory
@@ -992,9 +998,7 @@
 			p.dirty = true
 			if ok {
 				slog.Info("part: chunk moved to free room", "job", id, "chunk", c, "from", p.K, "to", to)
-				if w.mine == 0 && len(w.runs) == 0 && len(w.ended) == 0 && len(w.strays) == 0 && !w.writing && p.Works[id] == w {
-					p.forget(w)
-				}
+				p.leave(w)
 			}
 		},
 	})
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io/fs"
-	"net"
 	"os"
 	"path/filepath"
 	"sort"
@@ -147,6 +146,7 @@
 type Settings struct {
 	Platform
 	Operators
+	Federation *Federation // nil: off
 }
 
 // Drift bounds how far two steady clocks run apart.
@@ -180,6 +180,9 @@
 	if err := s.Operators.read(text); err != nil {
 		return nil, fmt.Errorf("%s: %w", iniPath, err)
 	}
+	if err := s.federation(text, filepath.Dir(iniPath)); err != nil {
+		return nil, fmt.Errorf("%s: %w", iniPath, err)
+	}
 	return s, nil
 }
 
@@ -198,6 +201,9 @@
 		if sec.Name() == ini.DefaultSection && len(sec.Keys()) == 0 {
 			continue
 		}
+		if federated(sec.Name()) {
+			continue
+		}
 		if !known.HasSection(sec.Name()) {
 			return fmt.Errorf("unknown section [%s]", sec.Name())
 		}
@@ -255,7 +261,7 @@
 			missing = append(missing, name)
 		}
 	}
-	addr := func(s string) bool { _, err := net.ResolveTCPAddr("tcp4", s); return s != "" && err == nil }
+	addr := address
 	need(p.Name != "", "host_name")
 	need(p.Zone != "", "area")
 	need(addr(p.API), "api_addr")
--- a/internal/standin/days_test.go
+++ b/internal/standin/days_test.go
@@ -23,9 +23,16 @@
 	for _, b := range s.Broken {
 		t.Errorf("rule broken: %s", b)
 	}
+	same(t, name, s.Text())
+	return s
+}
+
+// same compares a trace with the kept one.
+func same(t *testing.T, name, text string) {
+	t.Helper()
 	file := "testdata/" + name + ".trace"
 	if *update {
-		if err := os.WriteFile(file, []byte(s.Text()), 0o644); err != nil {
+		if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -33,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if got := s.Text(); got != string(want) {
+	if got := text; got != string(want) {
 		a, b := strings.Split(got, "\n"), strings.Split(string(want), "\n")
 		for i := range a {
 			if i >= len(b) || a[i] != b[i] {
@@ -42,7 +49,6 @@
 		}
 		t.Fatalf("%s: the trace is shorter than the kept one", file)
 	}
-	return s
 }
 
 func fleet(s *Sim, smalls, bigs int) (ids []*Worker) {
--- a/internal/standin/seen.go
+++ b/internal/standin/seen.go
@@ -30,7 +30,11 @@
 	if w.s.seen == nil {
 		return
 	}
-	s := Sight{At: w.s.now.Round(time.Millisecond).Seconds(), Cluster: w.s.Name, Machine: w.id, Task: t.String(), Try: t.try, What: what}
+	_, whose := w.s.origin(t.Task)
+	s := Sight{At: w.s.now.Round(time.Millisecond).Seconds(), Cluster: w.s.Name, Machine: w.id, Task: whose.String(), Try: t.try, What: what}
+	if whose != t.Task {
+		s.As = t.String()
+	}
 	_ = w.s.seen.e.Encode(&s)
 }
 
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -7,6 +7,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"sort"
 	"strings"
@@ -330,14 +331,24 @@
 	life  int
 	up    bool
 	start time.Duration
+	Rate  float64 // of its steady clock; 0: exact
 	Node  *node.Node
 }
 
+// rate of a steady clock.
+func rate(r float64) float64 {
+	if r == 0 {
+		return 1
+	}
+	return r
+}
+
 // Start starts the controller's process.
 func (h *Host) Start() {
 	h.life++
 	h.up, h.start = true, h.s.now
 	h.Node = node.New(&world{h, h.life}, h.set)
+	h.Node.Federate(&world{h, h.life})
 	h.Node.Start()
 }
 
@@ -353,12 +364,16 @@
 	life int
 }
 
-func (w *world) alive() bool        { return w.h.up && w.h.life == w.life }
-func (w *world) Now() time.Duration { return w.h.s.now - w.h.start + time.Second }
-func (w *world) Wall() time.Time    { return time.Unix(1_700_000_000, 0).Add(w.h.s.now) }
-func (w *world) Rand() *rand.Rand   { return w.h.s.rnd }
+func (w *world) alive() bool { return w.h.up && w.h.life == w.life }
+func (w *world) Now() time.Duration {
+	return time.Duration(float64(w.h.s.now-w.h.start)*rate(w.h.Rate)) + time.Second
+}
+func (w *world) Wall() time.Time  { return time.Unix(1_700_000_000, 0).Add(w.h.s.now) }
+func (w *world) Rand() *rand.Rand { return w.h.s.rnd }
 func (w *world) After(d time.Duration, f func()) {
-	w.h.s.after(d, func() {
+	// Rounded up: what waits for a moment of its own clock must not find that
+	// it is still to come, again and again.
+	w.h.s.after(time.Duration(math.Ceil(float64(d)/rate(w.h.Rate))), func() {
 		if w.alive() {
 			f()
 		}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -153,13 +153,11 @@
 		if out.Status == wire.Withdrawn && s.aborted[id] <= 1 {
 			s.aborted[id] = s.now
 			s.after(time.Duration(s.S.Deployment.Workers.Cancel*float64(time.Second)), func() {
-				for _, wid := range s.workerIDs() {
-					for _, t := range s.Workers[wid].tasks {
-						if t.Job == id && t.on {
-							s.broken("ran_cancelled: %s is still on %s", t, wid)
-						}
+				s.each(func(w *Worker, t *task) {
+					if _, o := w.s.origin(t.Task); o.Job == id && t.on {
+						s.broken("ran_cancelled: %s is still on %s", t, w.id)
 					}
-				}
+				})
 			})
 		}
 		s.tell(id, out.Status)
@@ -169,28 +167,25 @@
 // started checks the rules at the moment a task comes to be on a machine.
 func (s *Sim) started(w *Worker, t *task, job *wire.Job) {
 	s.Trace("  %s starts %s", w.id, t)
-	zones, total := map[string]int{}, 0
+	zones := map[string]int{}
 	cores, gpus := 0.0, 0.0
-	for _, id := range s.workerIDs() {
-		o := s.Workers[id]
-		for _, x := range o.tasks {
-			j := s.jobs[x.Job]
-			if !x.on || j == nil {
-				continue
-			}
-			if x != t && x.Task == t.Task {
-				s.broken("ran_twice: %s on %s and %s", t, o.id, w.id)
-			}
-			if x.Job == t.Job {
-				zones[o.zone]++
-				total++
-			}
-			if j.Team == job.Team {
-				cores += j.Cores
-				gpus += j.GPUs
-			}
+	home, whose := s.origin(t.Task)
+	s.each(func(o *Worker, x *task) {
+		j := o.s.job(x.Job)
+		if !x.on || j == nil {
+			return
 		}
-	}
+		if _, theirs := o.s.origin(x.Task); x != t && theirs == whose {
+			s.broken("ran_twice: %s on %s and %s", t, o.id, w.id)
+		}
+		if x.Job == t.Job {
+			zones[o.zone]++
+		}
+		if j.Team == job.Team {
+			cores += j.Cores
+			gpus += j.GPUs
+		}
+	})
 	team := s.S.Team(job.Team)
 	if team.CoresMax > 0 && cores > team.CoresMax+1e-9 || team.GPUsMax > 0 && gpus > team.GPUsMax+1e-9 {
 		s.broken("quota: %s uses %v cores", job.Team, cores)
@@ -198,16 +193,17 @@
 	if job.OneZone && len(zones) > 1 || job.Spread && zones[w.zone] > (job.Tasks+1)/2 || w.spot && !job.Spot || job.Zone != "" && job.Zone != w.zone {
 		s.broken("wrong_place: %s on %s", t, w.id)
 	}
-	if at := s.aborted[job.ID]; at > 1 && s.now > at+time.Duration(s.S.Deployment.Workers.Cancel*float64(time.Second)) {
+	if at := home.aborted[whose.Job]; at > 1 && s.now > at+time.Duration(s.S.Deployment.Workers.Cancel*float64(time.Second)) {
 		s.broken("ran_cancelled: %s starts", t)
 	}
 }
 
-func (s *Sim) done(t worker.Task) {
-	if s.finished == nil {
-		s.finished = map[worker.Task]bool{}
+func (s *Sim) done(t worker.Task, w *Worker) {
+	home, whose := s.origin(t)
+	if home.finished == nil {
+		home.finished = map[worker.Task]bool{}
 	}
-	s.finished[t] = true
+	home.finished[whose] = true
 	s.Trace("  %s done", t)
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -22,6 +22,7 @@
 	up     bool
 	gone   bool
 	Hung   bool
+	Rate   float64 // of its steady clock; 0: exact
 	Faulty bool
 
 	session, seq, token uint64
@@ -104,7 +105,7 @@
 		return
 	}
 	// A machine that hangs may resume only within its lease.
-	if w.up && w.s.now-w.begun > time.Duration(w.s.S.Deployment.Workers.Lease*float64(time.Second)) {
+	if w.up && time.Duration(float64(w.s.now-w.begun)*rate(w.Rate)) > time.Duration(w.s.S.Deployment.Workers.Lease*float64(time.Second)) {
 		if len(w.tasks) > 0 {
 			w.s.Trace("%s lease over, kills %d", w.id, len(w.tasks))
 		}
@@ -270,7 +271,7 @@
 	key, _ := worker.ParseTask(o.Task)
 	t := &task{Task: key, try: o.Try}
 	w.tasks = append(w.tasks, t)
-	job := w.s.jobs[key.Job]
+	job := w.s.job(key.Job)
 	refuse := func(cause string) { t.state, t.cause = wire.Ended, cause }
 	if job == nil || key.Index >= job.Tasks {
 		refuse(wire.Unknown)
@@ -278,7 +279,7 @@
 	}
 	cores, mem, gpus := w.typ.Cores, w.typ.Memory, w.typ.GPUs
 	for _, x := range w.tasks {
-		if j := w.s.jobs[x.Job]; x != t && x.state != wire.Ended && j != nil {
+		if j := w.s.job(x.Job); x != t && x.state != wire.Ended && j != nil {
 			if x.Task == key {
 				refuse(wire.Busy)
 				return
@@ -349,13 +350,13 @@
 	}
 	t.state, t.cause, t.on = wire.Ended, cause, false
 	if cause == wire.Done {
-		w.s.done(t.Task)
+		w.s.done(t.Task, w)
 	}
 	w.changed()
 }
 
 func (w *Worker) halt(t *task, grace *float64) {
-	job := w.s.jobs[t.Job]
+	job := w.s.job(t.Job)
 	if t.state == wire.Running && job.Mark > 0 && grace != nil && *grace >= job.Save {
 		t.state = wire.Flushing
 		w.then(t, time.Duration(job.Save*float64(time.Second)), func() { t.saved = true; w.end(t, wire.Halted) })
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -193,6 +193,17 @@
 	Status  string `cbor:"status"`
 	Done    *int   `cbor:"done,omitempty"`
 	Running *int   `cbor:"running,omitempty"`
+	// Elsewhere is not in PROTOCOL (unknown fields are ignored): what runs, or
+	// waits, at partner clusters.
+	Elsewhere []Elsewhere `cbor:"elsewhere,omitempty"`
+}
+
+// Elsewhere says why some of a job's tasks are at another cluster.
+type Elsewhere struct {
+	Cluster string `cbor:"cluster" json:"cluster"`
+	First   int    `cbor:"first" json:"first"`
+	Tasks   int    `cbor:"tasks" json:"tasks"`
+	Why     string `cbor:"why" json:"why"`
 }
 
 // Problem is the body of a refusal.
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"curlewspool/internal/loan"
 	"curlewspool/internal/wire"
 )
 
@@ -55,6 +56,7 @@
 	Placed  time.Duration
 	Began   time.Duration // first seen running; 0 before
 	Foreign bool          // of no job that is ours to run: being removed
+	Permit  *loan.Permit  // of a borrowed job: until when it may go on; nil: ours
 
 	told           time.Duration // when it was last told to halt; 0: never
 	sent           bool
@@ -67,6 +69,9 @@
 // MayBeThere tells whether the task could be on the machine.
 func (r *Run) MayBeThere() bool { return r.sent || r.State != "" }
 
+// lapsed: its home has not said of late that it may go on.
+func (r *Run) lapsed(now time.Duration) bool { return r.Permit != nil && !r.Permit.Good(now) }
+
 // Over tells whether the run has ended there.
 func (r *Run) Over() bool { return r.State == wire.Ended }
 
@@ -249,6 +254,13 @@
 	var halts, launches, reaps []wire.Command
 	for _, key := range m.Keys() {
 		run := m.Runs[key]
+		// Home reckons that an answer given after the permit's end, which
+		// renews the machine's lease, stops all that is there of the loan.
+		if run.lapsed(now) && !run.Over() && run.MayBeThere() {
+			run.Halt, run.Grace = true, 0
+		} else if len(halts)+len(launches)+len(reaps) >= maxOrders {
+			continue
+		}
 		switch {
 		case run.Over():
 			// A delayed copy of the launch, executed after the reap, would
@@ -263,13 +275,12 @@
 				run.told = max(now, 1)
 				halts = append(halts, wire.Command{Verb: wire.Halt, Task: run.String(), Try: run.Try, Grace: &g})
 			}
-		case run.State == "" && !run.sent && !run.Hold && m.Resolved:
+		// Direct orders may be executed minutes later, so nothing borrowed is
+		// started by them: an answer is taken within seconds or dropped.
+		case run.State == "" && !run.sent && !run.Hold && m.Resolved && (run.Permit == nil || !direct && !run.lapsed(now)):
 			launches = append(launches, wire.Command{Verb: wire.Launch, Task: run.String(), Try: run.Try})
 			run.sent, run.direct, run.session, run.seq = true, direct, m.Session, m.Seq
 		}
-		if len(halts)+len(launches)+len(reaps) >= maxOrders {
-			break
-		}
 	}
 	return append(append(halts, reaps...), launches...)
 }
@@ -290,7 +301,7 @@
 		if run.Over() {
 			continue
 		}
-		if run.Halt && run.MayBeThere() && (run.told == 0 || run.State != wire.Flushing && now-run.told > repeat) || !run.Halt && run.State == "" && !run.Hold && !run.sent {
+		if run.Halt && run.MayBeThere() && (run.told == 0 || run.State != wire.Flushing && now-run.told > repeat) || !run.Halt && run.State == "" && !run.Hold && !run.sent && run.Permit == nil {
 			return true
 		}
 	}
