--- a/cmd/curlew/dev.go
+++ b/cmd/curlew/dev.go
@@ -227,8 +227,8 @@
 			r.Wrong = append(r.Wrong, fmt.Sprintf("%s is done, machines finished %d of its %d tasks", id, r.Jobs[id], want))
 		}
 	}
-	say("%d jobs done in %.0f s; machines saw %d tasks start %d times, %d finished once %v, %d again", len(tasks), time.Since(begun).Seconds(),
-		r.Tasks, r.Starts, r.Finished, r.By, r.Again)
+	say("%d jobs done in %.0f s; machines saw %d tasks start %d times, %d finished once %v, %d started again with their result kept", len(tasks), time.Since(begun).Seconds(),
+		r.Tasks, r.Starts, r.Finished, r.By, r.Kept)
 	if len(r.Wrong) > 0 {
 		return r, errors.New(r.Wrong[0])
 	}
@@ -259,8 +259,8 @@
 				return err
 			}
 			if err := show(c.OutOrStdout(), asJSON, r, func(w io.Writer) {
-				fmt.Fprintf(w, "%d tasks of %d jobs, %d starts: %d finished once, %d again, %d still there, %d lost and not run again\n",
-					r.Tasks, len(r.Jobs), r.Starts, r.Finished, r.Again, r.Left, r.Lost)
+				fmt.Fprintf(w, "%d tasks of %d jobs, %d starts: %d finished once, %d started again with their result kept, %d still there, %d lost and not run again\n",
+					r.Tasks, len(r.Jobs), r.Starts, r.Finished, r.Kept, r.Left, r.Lost)
 				for _, c := range slices.Sorted(maps.Keys(r.By)) {
 					fmt.Fprintf(w, "finished in %s: %d\n", cmpName(c), r.By[c])
 				}
--- /dev/null
+++ b/cmd/curlew/look.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/prometheus/common/expfmt"
+	"github.com/spf13/cobra"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+
+	"curlewspool/internal/federation"
+	"curlewspool/internal/node"
+	"curlewspool/internal/spans"
+)
+
+func traceCommand() *cobra.Command {
+	var file, otlp string
+	c := &cobra.Command{
+		Use: "trace HOST:PORT...", Short: "Hand-overs to and from partners as traces, from what controllers tell",
+		Long: "Asks the controllers named (api_addr; those of both clusters give whole traces) for the steps that they\n" +
+			"remember, and writes one trace a loan: to a file as lines of JSON, or to a collector by OTLP over HTTP.",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, addrs []string) error {
+			if (file == "") == (otlp == "") {
+				return errors.New("give --file FILE (- for standard output) or --otlp URL")
+			}
+			var events []federation.Event
+			silent := 0
+			for _, a := range addrs {
+				s, err := node.Ask(a)
+				if err != nil { // what the others tell is worth having
+					if silent++; silent == len(addrs) {
+						return err
+					}
+					fmt.Fprintln(c.ErrOrStderr(), err)
+					continue
+				}
+				if s.Federation != nil {
+					events = append(events, s.Federation.Events...)
+				}
+			}
+			var to sdk.SpanExporter
+			var err error
+			if otlp != "" {
+				to, err = otlptracehttp.New(c.Context(), otlptracehttp.WithEndpointURL(otlp))
+			} else {
+				out := c.OutOrStdout()
+				if file != "-" {
+					f, err := os.Create(file)
+					if err != nil {
+						return err
+					}
+					defer f.Close()
+					out = f
+				}
+				to, err = stdouttrace.New(stdouttrace.WithWriter(out))
+			}
+			if err != nil {
+				return err
+			}
+			n, err := spans.Export(c.Context(), events, to)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.ErrOrStderr(), "%d hand-overs, %d steps\n", n, len(events))
+			return to.Shutdown(c.Context())
+		},
+	}
+	c.Flags().StringVar(&file, "file", "", "write lines of JSON to this file; - for standard output")
+	c.Flags().StringVar(&otlp, "otlp", "", "send to a collector, such as http://127.0.0.1:4318/v1/traces")
+	return c
+}
+
+// collector asks controllers whenever it is asked itself.
+type collector struct{ addrs []string }
+
+var (
+	upDesc      = prometheus.NewDesc("curlewspool_ready", "1 if the controller can act", []string{"controller"}, nil)
+	liveDesc    = prometheus.NewDesc("curlewspool_live_jobs", "Jobs that are not over", []string{"controller"}, nil)
+	machineDesc = prometheus.NewDesc("curlewspool_machines", "Machines known", []string{"controller"}, nil)
+	waitingDesc = prometheus.NewDesc("curlewspool_waiting_jobs", "Jobs of its parts that wait", []string{"controller"}, nil)
+	awayDesc    = prometheus.NewDesc("curlewspool_federation_away", "Chunks that are at partners", []string{"controller", "partner"}, nil)
+	borrowDesc  = prometheus.NewDesc("curlewspool_federation_borrowed", "Loans that are here", []string{"controller"}, nil)
+	loanDesc    = prometheus.NewDesc("curlewspool_federation_events_total", "Loans by what became of them, as counted by this process", []string{"controller", "what"}, nil)
+)
+
+func (k *collector) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{upDesc, liveDesc, machineDesc, waitingDesc, awayDesc, borrowDesc, loanDesc} {
+		ch <- d
+	}
+}
+
+func (k *collector) Collect(ch chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	for _, a := range k.addrs {
+		s, err := node.Ask(a)
+		if err != nil || !s.Ready {
+			gauge(upDesc, 0, a)
+		} else {
+			gauge(upDesc, 1, a)
+		}
+		if err != nil {
+			continue
+		}
+		gauge(liveDesc, float64(s.Jobs), a)
+		gauge(machineDesc, float64(s.Machines), a)
+		gauge(waitingDesc, float64(len(s.Waiting)), a)
+		f := s.Federation
+		if f == nil {
+			continue
+		}
+		away := map[string]int{}
+		for _, x := range f.Away {
+			away[x.To]++
+		}
+		for p, n := range away {
+			gauge(awayDesc, float64(n), a, p)
+		}
+		gauge(borrowDesc, float64(len(f.Borrowed)), a)
+		v := reflect.ValueOf(f.Count)
+		for i := range v.NumField() {
+			ch <- prometheus.MustNewConstMetric(loanDesc, prometheus.CounterValue, float64(v.Field(i).Int()), a, snake(v.Type().Field(i).Name))
+		}
+	}
+}
+
+func snake(s string) string {
+	var b strings.Builder
+	for i, r := range s {
+		if r >= 'A' && r <= 'Z' {
+			if i > 0 {
+				b.WriteByte('_')
+			}
+			r += 'a' - 'A'
+		}
+		b.WriteRune(r)
+	}
+	return b.String()
+}
+
+func metricsCommand() *cobra.Command {
+	var listen string
+	c := &cobra.Command{
+		Use: "metrics HOST:PORT...", Short: "Figures of controllers for Prometheus: once, or served with --listen",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, addrs []string) error {
+			reg := prometheus.NewRegistry()
+			if err := reg.Register(&collector{addrs}); err != nil {
+				return err
+			}
+			if listen == "" {
+				families, err := reg.Gather()
+				if err != nil {
+					return err
+				}
+				for _, f := range families {
+					if _, err := expfmt.MetricFamilyToText(c.OutOrStdout(), f); err != nil {
+						return err
+					}
+				}
+				return nil
+			}
+			ln, err := net.Listen("tcp4", listen)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.ErrOrStderr(), "http://%s/metrics until Ctrl-C\n", ln.Addr())
+			mux := http.NewServeMux()
+			mux.Handle("/metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{MaxRequestsInFlight: 2, Timeout: 10 * time.Second}))
+			srv := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+			ctx, done := signal.NotifyContext(c.Context(), os.Interrupt)
+			defer done()
+			go func() {
+				<-ctx.Done()
+				_ = srv.Shutdown(context.Background())
+			}()
+			if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		},
+	}
+	c.Flags().StringVar(&listen, "listen", "", "serve /metrics at this address instead")
+	return c
+}
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -27,8 +27,8 @@
 type Report struct {
 	Tasks    int            `json:"tasks"`    // that came to be on a machine
 	Starts   int            `json:"starts"`   // of them
-	Finished int            `json:"finished"` // tasks that finished
-	Again    int            `json:"again"`    // of them, that did so once more: see Read
+	Finished int            `json:"finished"` // tasks that finished once
+	Kept     int            `json:"kept"`     // starts that found the result of an earlier run
 	Left     int            `json:"left"`     // tasks that are on a machine at the end
 	Lost     int            `json:"lost"`     // tasks gone without an end and not there at the end
 	Jobs     map[string]int `json:"jobs"`     // tasks finished of each job
@@ -36,10 +36,9 @@
 	Wrong    []string       `json:"wrong"`    // rules that did not hold
 }
 
-// Read judges lines in the order of their writing. A task that finishes again
-// is counted, not wrong: its result was lost with its cluster before anybody
-// could hear of it, so it had to run again. It is wrong in two places at once,
-// or where its machine was not told to start it.
+// Read judges lines in the order of their writing. A task whose end was lost
+// with its cluster before anybody heard of it is started again, and ends at once
+// by the result that was kept; that is counted, not wrong.
 func Read(r io.Reader) (*Report, error) {
 	type place struct {
 		machine string
@@ -76,10 +75,13 @@
 			out.Wrong = append(out.Wrong, fmt.Sprintf("at %.3f %s ends on %s, where it never started", l.At, l.Task, l.Machine))
 		}
 		delete(here, at)
+		if l.What == "kept" {
+			out.Kept++
+		}
 		if l.What == "done" {
 			ends[l.Task]++
 			if ends[l.Task] > 1 {
-				out.Again++
+				out.Wrong = append(out.Wrong, fmt.Sprintf("at %.3f %s finishes a second time, on %s", l.At, l.Task, l.Machine))
 				continue
 			}
 			job, _, _ := strings.Cut(l.Task, "/")
@@ -94,7 +96,7 @@
 			out.Left++
 		case ends[task] == 0:
 			out.Lost++
-		default:
+		case ends[task] == 1:
 			out.Finished++
 		}
 	}
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -16,7 +16,8 @@
 	for _, c := range []struct{ name, lines, wrong string }{
 		{"one after the other", good, ""},
 		{"two places", good + say(6, "e", "i-9", "wk-2/0", 4, "start"), "while it is on i-1"},
-		{"finished again", good + say(6, "w", "i-1", "wk-1/0", 5, "start") + say(7, "w", "i-1", "wk-1/0", 5, "done"), ""},
+		{"finished twice", good + say(6, "w", "i-1", "wk-1/0", 5, "start") + say(7, "w", "i-1", "wk-1/0", 5, "done"), "a second time"},
+		{"a kept result", good + say(6, "w", "i-1", "wk-1/0", 5, "start") + say(7, "w", "i-1", "wk-1/0", 5, "kept"), ""},
 		{"an end from nowhere", say(1, "w", "i-1", "wk-1/0", 1, "done"), "never started"},
 	} {
 		r, err := Read(strings.NewReader(c.lines))
--- a/internal/federation/choose.go
+++ b/internal/federation/choose.go
@@ -23,7 +23,7 @@
 // wait is what passes at the host before a loan starts: the offer, the record
 // here, the record there, the renewal and a machine's report.
 func wait(s *settings.Settings) time.Duration {
-	return time.Duration(2 * s.Deployment.Workers.Report * float64(time.Second))
+	return time.Duration(3 * s.Deployment.Workers.Report * float64(time.Second))
 }
 
 // goes tells whether a waiting chunk may and should go to a partner, and why:
@@ -80,13 +80,25 @@
 	return n
 }
 
-// first orders waiting chunks: by the user's priority, then by age.
-func first(list []*Waiting) {
+// first orders waiting chunks: by the user's priority, what is saved by going
+// before what is late anyway, then by age.
+func first(list []*Waiting, there time.Duration, wall float64) {
+	saved := func(w *Waiting) bool {
+		for _, due := range w.Due {
+			if wall-w.Rec.At+there.Seconds()+w.Rec.Job.Estimate <= due {
+				return true
+			}
+		}
+		return len(w.Due) == 0
+	}
 	sort.SliceStable(list, func(i, j int) bool {
 		a, b := list[i], list[j]
 		if a.Rec.Job.Rank != b.Rec.Job.Rank {
 			return a.Rec.Job.Rank > b.Rec.Job.Rank
 		}
+		if x, y := saved(a), saved(b); x != y {
+			return x
+		}
 		if a.Rec.At != b.Rec.At {
 			return a.Rec.At < b.Rec.At
 		}
--- a/internal/federation/desk.go
+++ b/internal/federation/desk.go
@@ -518,7 +518,7 @@
 	var why []string
 	there := wait(s)
 	waiting := d.h.Waiting()
-	first(waiting)
+	first(waiting, there, d.h.Wall())
 	in := &OffersAsk{Keep: []uint64{}}
 	jobs := map[string]bool{}
 	for _, o := range d.out {
--- /dev/null
+++ b/internal/standin/overflow_bench_test.go
@@ -0,0 +1,100 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"curlewspool/internal/wire"
+)
+
+// BenchmarkOverflow plays ten minutes in which west's load is a share of its
+// 16 cores and east's is a third of its 32, with and without partners, and
+// tells what share of west's and east's jobs were done within 45 s, and what the
+// state services were asked a second (stand-in days, three seeds).
+//
+//	go test ./internal/standin -run XXX -bench Overflow -benchtime 1x
+func BenchmarkOverflow(b *testing.B) {
+	slog.SetDefault(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for _, load := range []float64{0.5, 0.8, 1.1, 1.5, 2.0} {
+		for _, on := range []bool{false, true} {
+			b.Run(fmt.Sprintf("load=%.1f/partners=%v", load, on), func(b *testing.B) {
+				for range b.N {
+					var in, all [2]int
+					var asked, changed [2]float64
+					lent := 0
+					for seed := uint64(1); seed <= 3; seed++ {
+						day := overflowDay(seed, load, on)
+						for i, s := range day {
+							x, n := inTime(s, 45)
+							in[i], all[i] = in[i]+x, all[i]+n
+							asked[i] += float64(s.State.requests.Used) / 600 / 3
+							changed[i] += float64(s.State.changes.Used) / 600 / 3
+							if len(s.Broken) > 0 {
+								b.Fatal(s.Broken[0])
+							}
+						}
+						lent += strings.Count(day[0].Text(), "starts wk-at.west.")
+					}
+					for i, name := range []string{"west", "east"} {
+						b.ReportMetric(float64(in[i])/float64(max(1, all[i])), name+"_in_time")
+						b.ReportMetric(asked[i], name+"_requests/s")
+						b.ReportMetric(changed[i], name+"_changes/s")
+					}
+					b.ReportMetric(float64(lent)/3, "tasks_lent")
+				}
+			})
+		}
+	}
+}
+
+func overflowDay(seed uint64, load float64, on bool) [2]*Sim {
+	w, e := Federated(seed, 3)
+	if !on {
+		for _, s := range []*Sim{w, e} {
+			for _, n := range s.all {
+				s.Nodes[n].set.Federation = nil
+			}
+		}
+	}
+	fleet(w, 4, 0)
+	fleet(e, 8, 0)
+	arrive := func(s *Sim, cores, load float64) {
+		// Arrays of 12 tasks of a core for 10 s.
+		for at, i := 8.0, 0; at < 540; i++ {
+			s.Submit(at, Spec(fmt.Sprintf("wk-%s-%d", s.Name, i), wire.Array, 12, 1, 10, func(x *wire.Submission) { due := 45.0; x.Due = &due }))
+			at += w.rnd.ExpFloat64() * 120 / (cores * load)
+		}
+	}
+	arrive(w, 16, load)
+	arrive(e, 32, 1.0/3)
+	w.Start()
+	e.Start()
+	w.Run(600)
+	return [2]*Sim{w, e}
+}
+
+// inTime counts a cluster's jobs that were submitted in time to be judged, and
+// of them those whose users were told within the limit (and 3 s) that they are
+// done.
+func inTime(s *Sim, limit float64) (in, all int) {
+	began := map[string]float64{}
+	for _, line := range strings.Split(s.Text(), "\n") {
+		f := strings.Fields(line)
+		var at float64
+		if len(f) < 3 || !strings.HasPrefix(f[1], "wk-"+s.Name+"-") {
+			continue
+		}
+		fmt.Sscan(f[0], &at)
+		switch {
+		case f[2] == "accepted" && at < 600-limit-3:
+			began[f[1]] = at
+			all++
+		case len(f) == 4 && f[3] == wire.Done && began[f[1]] > 0 && at-began[f[1]] <= limit+3:
+			in++
+		}
+	}
+	return in, all
+}
--- a/internal/standin/seen.go
+++ b/internal/standin/seen.go
@@ -17,7 +17,7 @@
 	Task    string  `json:"task"` // as its user named it
 	As      string  `json:"as,omitempty"`
 	Try     uint64  `json:"try"`
-	What    string  `json:"what"` // "start", or why it went: "done", "halted", ..., "killed", "machine gone"
+	What    string  `json:"what"` // "start", or why it went: "done", "halted", ..., "kept" (its result was there before), "killed", "machine gone"
 }
 
 // Seen writes sights as lines of JSON.
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -225,15 +225,19 @@
 		return
 	}
 	s.Trace("  gang %s runs with %s tasks", job.ID, strconv.Itoa(len(all)))
+	takes := RunTime(job, 0)
 	for _, a := range all {
 		a.t.state, a.t.since = wire.Running, s.now
+		if home, whose := s.origin(a.t.Task); home.finished[whose] {
+			takes, a.t.kept = 0, true // its result is there from before
+		}
 		a.w.changed()
 	}
-	s.watchGang(job, try)
+	s.watchGang(job, try, takes)
 }
 
 // watchGang ends a gang together: done, or gone with a lost mate.
-func (s *Sim) watchGang(job *wire.Job, try uint64) {
+func (s *Sim) watchGang(job *wire.Job, try uint64, takes time.Duration) {
 	started := s.now
 	var check func()
 	check = func() {
@@ -254,7 +258,7 @@
 			for _, f := range left {
 				f(wire.MatesGone)
 			}
-		case s.now-started >= RunTime(job, 0):
+		case s.now-started >= takes:
 			for _, f := range left {
 				f(wire.Done)
 			}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -43,6 +43,7 @@
 	cause    string
 	saved    bool
 	on       bool // has its image and has not exited
+	kept     bool // its result was there already
 	progress time.Duration
 	since    time.Duration
 	gen      int
@@ -340,12 +341,19 @@
 	if job.Shape == wire.Service {
 		return
 	}
-	w.then(t, RunTime(job, t.Index)-t.progress, func() { w.end(t, wire.Done) })
+	left := RunTime(job, t.Index) - t.progress
+	if home, whose := w.s.origin(t.Task); home.finished[whose] {
+		left, t.kept = 0, true // its result is there from before
+	}
+	w.then(t, left, func() { w.end(t, wire.Done) })
 }
 
 func (w *Worker) end(t *task, cause string) {
 	t.gen++
-	if t.on {
+	switch {
+	case t.kept && cause == wire.Done:
+		w.sight(t, "kept")
+	case t.on:
 		w.sight(t, cause)
 	}
 	t.state, t.cause, t.on = wire.Ended, cause, false
