--- a/internal/node/federation.go
+++ b/internal/node/federation.go
@@ -114,7 +114,9 @@
 				continue
 			}
 			j := &rec.Job
-			starts := world.Seconds(max(g.StartsS, j.Estimate/2))
+			// What has waited for long was reckoned wrong, or is held up by what
+			// the reckoning leaves out: it may wait as long again.
+			starts := world.Seconds(max(g.StartsS, j.Estimate/2, g.WaitedS))
 			ahead := n.slots[k].Load[min(rec.Rank, n.s.Rank.Max)] - dispatch.Work(j, int(g.Tasks))
 			if cores[k] > 0 {
 				starts = max(starts, world.Seconds(max(0, ahead)/cores[k]))
