Part: looks for borrowed work to stop only where there is some

With federation off each pass with a waiting head went through all rooms once more for borrowed work that could not be there: a cost on small shares of a core.

--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -79,6 +79,7 @@
 	softFree float64    // cores free on spot machines; negative: to be counted
 	order    []*Machine // by name; nil: to be listed anew
 	queued   []*Work    // all works by name; nil: to be listed anew
+	borrowed int        // works that are borrowed
 
 	head     *Work // it waits and is reserved for
 	lastPass time.Duration
@@ -116,7 +117,7 @@
 func (p *Part) Close() {
 	p.closed = true
 	p.Works, p.Machines = map[string]*Work{}, map[string]*Machine{}
-	p.order, p.queued, p.head = nil, nil, nil
+	p.order, p.queued, p.head, p.borrowed = nil, nil, nil, 0
 }
 
 // ProgressKey is where this part's progress of a job is kept.
@@ -155,6 +156,9 @@
 		}
 		w = newWork(rec, stamp, p.h.Now())
 		p.Works[id], p.queued = w, nil
+		if w.borrowed() {
+			p.borrowed++
+		}
 		p.lastPass = 0 // the next tick sees it
 		for _, m := range p.Machines {
 			if m.room.unknown { // perhaps of this job
@@ -235,6 +239,9 @@
 }
 
 func (p *Part) forget(w *Work) {
+	if p.Works[w.Rec.Job.ID] == w && w.borrowed() {
+		p.borrowed--
+	}
 	delete(p.Works, w.Rec.Job.ID)
 	p.queued = nil
 	if p.head == w {
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -633,7 +633,7 @@
 	}
 	w.starts = start
 	// What is borrowed gives way to a job of this cluster that would wait.
-	if start > now && p.preempt(w, rooms, need, now, (*Work).borrowed) {
+	if p.borrowed > 0 && start > now && p.preempt(w, rooms, need, now, (*Work).borrowed) {
 		return true
 	}
 	if p.tooLate(w, start, now) && p.preempt(w, rooms, need, now, nil) {
