--- a/cmd/curlew/jobs.go
+++ b/cmd/curlew/jobs.go
@@ -22,6 +22,8 @@
 	Status  string `json:"status"`
 	Done    *int   `json:"done,omitempty"`
 	Running *int   `json:"running,omitempty"`
+	// Elsewhere is what is at partner clusters, and why.
+	Elsewhere []wire.Elsewhere `json:"elsewhere,omitempty"`
 }
 
 type asker struct {
@@ -45,7 +47,7 @@
 }
 
 func (a *asker) print(out io.Writer, s *wire.JobState) error {
-	return show(out, a.json, &stateJSON{s.ID, s.Status, s.Done, s.Running}, func(w io.Writer) { fmt.Fprintln(w, client.Line(s)) })
+	return show(out, a.json, &stateJSON{s.ID, s.Status, s.Done, s.Running, s.Elsewhere}, func(w io.Writer) { fmt.Fprintln(w, client.Line(s)) })
 }
 
 func jobCommands() []*cobra.Command {
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -162,5 +162,8 @@
 	if s.Done != nil && s.Running != nil && !Over(s) {
 		line += fmt.Sprintf(" (%d done, %d running)", *s.Done, *s.Running)
 	}
+	for _, e := range s.Elsewhere {
+		line += fmt.Sprintf("; %d tasks from %d on are at %s: %s", e.Tasks, e.First, e.Cluster, e.Why)
+	}
 	return line
 }
--- /dev/null
+++ b/internal/dev/dev_test.go
@@ -0,0 +1,106 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"curlewspool/internal/audit"
+	"curlewspool/internal/client"
+	"curlewspool/internal/standin"
+	"curlewspool/internal/wire"
+)
+
+// Two clusters as real processes, more work for west than it holds, and one of
+// them ends for some seconds: every job is done, every task finished once, none
+// was in two places, as the machines saw it.
+func TestTwoClusters(t *testing.T) {
+	if testing.Short() {
+		t.Skip("some 30 s of real time")
+	}
+	dir := t.TempDir()
+	program, err := Program("", dir, t.Logf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ name, kill string }{{"the partner ends for good", "east/@12s"}, {"home ends for a while", "west/@9s+6s"}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			kill, err := ParseKill(c.kill)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p := Plan{Controllers: 3, Machines: 4, Zones: 2, Clusters: 2, Dir: t.TempDir(), Program: program, LogLevel: "info", Kills: []Kill{kill}, Say: t.Logf}
+			if err := p.Partners(0.8, time.Hour); err != nil {
+				t.Fatal(err)
+			}
+			d, err := Start(p)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer d.Stop()
+			ctx, cancel := context.WithTimeout(context.Background(), 150*time.Second)
+			defer cancel()
+			if err := d.Ready(ctx); err != nil {
+				t.Fatal(err)
+			}
+			const jobs, tasks = 12, 12
+			var wg sync.WaitGroup
+			for i := range jobs {
+				cl, err := client.New(d.Clusters[0].Address())
+				if err != nil {
+					t.Fatal(err)
+				}
+				cl.Pause, cl.Patience = time.Second/2, 2*time.Minute
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					id := fmt.Sprintf("wk-%d", i)
+					_, err := cl.Submit(ctx, standin.Spec(id, wire.Array, tasks, 1, 5, nil))
+					s := &wire.JobState{}
+					if err == nil {
+						s, err = cl.Wait(ctx, id, nil)
+					}
+					if err != nil || s.Status != wire.Done {
+						t.Errorf("%s: %+v %v", id, s, err)
+					}
+				}()
+			}
+			wg.Wait()
+			f, err := os.Open(filepath.Join(p.Dir, "machines.jsonl"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer f.Close()
+			r, err := audit.Read(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%d starts of %d tasks, finished %v, %d again with their result kept", r.Starts, r.Tasks, r.By, r.Kept)
+			for _, x := range r.Wrong {
+				t.Error(x)
+			}
+			if r.Finished != jobs*tasks || len(r.Jobs) != jobs || r.By["east"] == 0 && kill.Cluster == "west" {
+				t.Errorf("%d of %d tasks finished once, of %d jobs, in %v", r.Finished, jobs*tasks, len(r.Jobs), r.By)
+			}
+		})
+	}
+}
+
+func TestParseKill(t *testing.T) {
+	for s, want := range map[string]string{"n1@20s": "{ n1 20s 0s}", "east/n0@1m+5s": "{east n0 1m0s 5s}", "east/@30s": "{east  30s 0s}",
+		"n1": "", "@5s": "", "n1@x": "", "n1@5s+0s": "", "n1@-5s": ""} {
+		k, err := ParseKill(s)
+		if got := fmt.Sprint(k); (err == nil) != (want != "") || err == nil && got != want {
+			t.Errorf("%q reads as %q %v, want %q", s, got, err, want)
+		}
+		if err != nil && strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: more than one line", s)
+		}
+	}
+}
--- a/internal/worker/worker_test.go
+++ b/internal/worker/worker_test.go
@@ -1,9 +1,11 @@
 package worker
 
 import (
+	"strings"
 	"testing"
 	"time"
 
+	"curlewspool/internal/loan"
 	"curlewspool/internal/wire"
 )
 
@@ -155,3 +157,50 @@
 		t.Errorf("orders %v, want a reap", o)
 	}
 }
+
+// A borrowed task is started by answers to reports only, while its permit is
+// good; an answer after its end stops all that is there of the loan, more than
+// an answer usually holds included.
+func TestPermit(t *testing.T) {
+	m := New("i-1", 100, 0)
+	if _, ok := m.Report(&wire.Report{Machine: "i-1", Address: "w", Session: 1, Seq: 1, Token: 100}, time.Second, true); !ok {
+		t.Fatal("report refused")
+	}
+	permit := &loan.Permit{}
+	ours := m.Place(Task{"wk-1", 0}, 1, false, time.Second)
+	theirs := m.Place(Task{"wk-at.west.1.0.a", 0}, 2, false, time.Second)
+	theirs.Permit = permit
+	said := func(direct bool, now time.Duration) string {
+		s := ""
+		for _, o := range m.Orders(direct, now) {
+			s += o.Verb + " " + o.Task + "; "
+		}
+		return s
+	}
+	if got := said(false, 2*time.Second); got != "launch wk-1/0; " {
+		t.Errorf("without a permit: %q", got)
+	}
+	permit.Renew(2*time.Second, 10*time.Second)
+	if m.Pressing(3 * time.Second) {
+		t.Error("a borrowed start presses for direct orders")
+	}
+	if got := said(true, 3*time.Second); got != "" {
+		t.Errorf("direct orders: %q", got)
+	}
+	if got := said(false, 4*time.Second); got != "launch wk-at.west.1.0.a/0; " {
+		t.Errorf("permitted: %q", got)
+	}
+	if got := said(false, 11*time.Second); got != "" {
+		t.Errorf("still permitted: %q", got)
+	}
+	for i := 0; i < 3*maxOrders/2; i++ {
+		r := m.Place(Task{"wk-at.west.1.0.b", i}, 3, false, 11*time.Second)
+		r.Permit, r.State = permit, wire.Running
+	}
+	if got := strings.Count(said(false, 12*time.Second), "halt wk-at"); got != 1+3*maxOrders/2 {
+		t.Errorf("%d halts after the permit's end, want all", got)
+	}
+	if ours.Halt {
+		t.Error("our own task was stopped")
+	}
+}
