Federation: unknown loans are told only on proof; silent callers are tested

A new leader at the host whose cache was older than an acceptance called a running loan unknown, and home gave it up: safe, but its work was lost. Now the host proves its cache first. Callers that open connections and say nothing had no test.

--- a/internal/federation/host.go
+++ b/internal/federation/host.go
@@ -113,8 +113,17 @@
 	}
 	o := d.offers[in.Offer]
 	if o == nil || o.taken || o.home != from || d.h.Now() > o.until || in.Job.Tasks > o.tasks || p.Lends <= 0 {
-		d.Count.RefusedHere++
-		reply(409, &wire.Problem{Error: "the offer does not stand any more"}, 0)
+		d.h.Ledger().Prove(func(ok bool) {
+			switch {
+			case !ok:
+				reply(503, &wire.Problem{Error: "state service not reachable"}, 1)
+			case d.h.Job(in.ID) != nil: // a leader before accepted it
+				reply(200, d.state(in.ID), 0)
+			default:
+				d.Count.RefusedHere++
+				reply(409, &wire.Problem{Error: "the offer does not stand any more"}, 0)
+			}
+		})
 		return
 	}
 	l := d.h.Ledger()
@@ -225,7 +234,20 @@
 				d.remember(id, f)
 				*s = overState(f)
 			case status == 404:
-				s.State = StateUnknown
+				// Our cache may be older than its acceptance by the leader
+				// before: home would give up a loan that runs.
+				left++
+				d.h.Ledger().Prove(func(ok bool) {
+					switch {
+					case !ok:
+						s.State = StateLater
+					case d.h.Job(id) != nil:
+						*s = *d.state(id)
+					default:
+						s.State = StateUnknown
+					}
+					finish()
+				})
 			default:
 				s.State = StateLater
 			}
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -142,3 +142,62 @@
 		t.Error("an authority was replaced")
 	}
 }
+
+// Callers that say nothing hold places for a moment only: one that proves who it
+// is gets in soon.
+func TestSilentCallers(t *testing.T) {
+	dir := t.TempDir()
+	at := func(s string) string { return filepath.Join(dir, s) }
+	for _, err := range []error{MakeCA(at("ca"), "ours", time.Hour), MakeCert(at("west"), at("ca"), "west", time.Hour), MakeCert(at("east"), at("ca"), "east", time.Hour)} {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	open := func(own, peer string) *Ring {
+		r, err := Open(at(own+"/"+CertFile), at(own+"/"+KeyFile), []Peer{{Name: peer, CA: at("ca/" + CAFile)}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const places = 8
+	k := Listen(ln, open("west", "east").Server(), places)
+	defer k.Close()
+	go func() {
+		for {
+			c, err := k.Accept()
+			if err != nil {
+				return
+			}
+			fmt.Fprint(c, "hello")
+			c.Close()
+		}
+	}()
+	for range 4 * places { // they say nothing, and stay
+		c, err := net.Dial("tcp4", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	east := open("east", "west")
+	end := time.Now().Add(4 * patience)
+	for time.Now().Before(end) {
+		c, err := tls.DialWithDialer(&net.Dialer{Timeout: time.Second}, "tcp4", ln.Addr().String(), east.Client("west"))
+		if err != nil {
+			time.Sleep(patience / 20)
+			continue
+		}
+		_ = c.SetDeadline(time.Now().Add(time.Second))
+		b, _ := io.ReadAll(c)
+		c.Close()
+		if string(b) == "hello" {
+			return
+		}
+	}
+	t.Error("silent callers kept a partner out")
+}
--- a/internal/loan/loan_test.go
+++ b/internal/loan/loan_test.go
@@ -60,7 +60,6 @@
 	host  [2]float64
 	work  float64
 
-	leader   int
 	renewals *Renewals
 	lent     bool // the record at home
 	aborted  time.Duration
