--- a/internal/standin/federation_test.go
+++ b/internal/standin/federation_test.go
@@ -374,3 +374,64 @@
 		}
 	}
 }
+
+// Half of what one cluster asks of the other arrives again, up to a minute
+// later: offers, hand-overs, renewals, questions how loans are.
+func TestRepeatedMessages(t *testing.T) {
+	var ids []string
+	again := 0
+	w, e := pair(t, "repeated", 15, 200, func(w, e *Sim) {
+		ids = busy(w, e)
+		w.Twice = func(to string) time.Duration {
+			if !strings.Contains(to, "fed-") || w.rnd.IntN(2) > 0 {
+				return 0
+			}
+			again++
+			return time.Duration(w.rnd.IntN(60000)) * time.Millisecond
+		}
+	})
+	over(t, w, e, wire.Done, ids...)
+	if again < 20 {
+		t.Errorf("%d messages were repeated", again)
+	}
+}
+
+// Work that waits at the partner, whose own work came first, is called back when
+// home has room for it.
+func TestCalledBack(t *testing.T) {
+	var a, b []string
+	w, e := pair(t, "called-back", 16, 200, func(w, e *Sim) {
+		a = busy(w, e)
+		w.At(9.6, func() { // what was lent has no room there any more
+			for _, id := range e.workerIDs() {
+				e.Workers[id].Hung = true
+			}
+			e.Trace("all machines of east hang")
+		})
+		w.Abort(11, a[0])
+		w.Abort(11, a[3])
+		w.At(60, func() {
+			for _, id := range e.workerIDs() {
+				e.Workers[id].Hung = false
+			}
+			e.Trace("they go on")
+		})
+		b = a[1:3]
+	})
+	told(t, w, wire.Done, b...)
+	told(t, w, wire.Withdrawn, a[0], a[3])
+	recalled, back := 0, 0
+	for _, s := range []*Sim{w, e} {
+		for _, n := range s.all {
+			c := s.Nodes[n].Node.Describe().Federation.Count
+			recalled += c.Recalled
+			back += c.Back
+		}
+	}
+	if recalled == 0 || back == 0 {
+		t.Errorf("%d loans called back, %d came back", recalled, back)
+	}
+	if got := w.Loans(); got != "west: 0 lent, 0 borrowed" {
+		t.Error(got)
+	}
+}
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -36,8 +36,9 @@
 	held   map[string][]func()
 	Traced []string
 	Broken []string
-	live   *Live           // nil in simulated time
-	sims   map[string]*Sim // the clusters, by name
+	live   *Live                         // nil in simulated time
+	sims   map[string]*Sim               // the clusters, by name
+	Twice  func(to string) time.Duration // a request there arrives again after that; 0: once
 	seen   *Seen
 }
 
@@ -294,7 +295,7 @@
 			done(0)
 		}
 	})
-	s.deliver(from, to, func() {
+	arrive := func() {
 		srv := s.serve[to]
 		if srv == nil {
 			return // silent, like a machine without power
@@ -320,7 +321,13 @@
 				done(status)
 			})
 		})
-	})
+	}
+	s.deliver(from, to, arrive)
+	if s.Twice != nil {
+		if d := s.Twice(to); d > 0 {
+			s.after(d, arrive)
+		}
+	}
 }
 
 // Host runs one controller; a crash drops all its callbacks.
