Federation: a new owner asks home before it answers machines with borrowed work

Restarting the host's controllers in turn stopped all borrowed work: each new owner has no permit yet, and its first answers had to halt what ran. Now such reports stay unanswered for at most a tenth of a lease while home is asked; no answer renews no lease, so home's reckoning holds.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1154,6 +1154,10 @@
 		reply(503, &wire.Problem{Error: "outdated report"})
 		return
 	}
+	if p.Unanswered(m, n.w.Now()) {
+		reply(503, &wire.Problem{Error: "waits for a partner's word"})
+		return
+	}
 	p.Settle(m)
 	m.Answered(n.w.Now())
 	reply(200, &wire.Commands{Token: m.Token, Orders: notNil(m.Orders(false, n.w.Now()))})
--- a/internal/part/loan.go
+++ b/internal/part/loan.go
@@ -176,6 +176,7 @@
 	}
 	left := w.permit.Left(now)
 	switch {
+	case left == 0 && p.young(now):
 	case left == 0:
 		p.clearLoan(w, 0)
 	case l.Ending || w.over:
@@ -200,6 +201,19 @@
 	}
 }
 
+// young: the part was taken over a moment ago, and the homes of what is borrowed
+// have hardly been asked yet. An answer to a report would have to stop their
+// work, though they may be about to say that it goes on; none is given for that
+// long, which costs a machine a tenth of its lease at most.
+func (p *Part) young(now time.Duration) bool {
+	return now < p.since+world.Seconds(p.h.Settings().Deployment.Workers.Lease)/10
+}
+
+// Unanswered: the machine's report is better answered a little later.
+func (p *Part) Unanswered(m *Machine, now time.Duration) bool {
+	return p.borrowed > 0 && p.young(now) && m.Unpermitted(now)
+}
+
 // clearLoan stops all of a borrowed job, with the time to save if there is any.
 func (p *Part) clearLoan(w *Work, save float64) {
 	for _, pl := range w.placements() {
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -80,6 +80,7 @@
 	order    []*Machine // by name; nil: to be listed anew
 	queued   []*Work    // all works by name; nil: to be listed anew
 	borrowed int        // works that are borrowed
+	since    time.Duration
 
 	head     *Work // it waits and is reserved for
 	lastPass time.Duration
@@ -96,7 +97,7 @@
 // may have renewed a worker's lease.
 func New(k int, token uint64, h Host, guard func() wire.Cond, bound time.Duration) *Part {
 	p := &Part{K: k, Token: token, Machines: map[string]*Machine{}, Works: map[string]*Work{}, h: h,
-		bound: bound, dirty: true, corr: map[string]float64{}}
+		bound: bound, since: h.Now(), dirty: true, corr: map[string]float64{}}
 	p.guard = func() wire.Cond {
 		if p.closed {
 			return wire.Cond{Key: guard().Key, Stamp: never}
--- a/internal/standin/federation_test.go
+++ b/internal/standin/federation_test.go
@@ -435,3 +435,22 @@
 		t.Error(got)
 	}
 }
+
+// The controllers of the partner are restarted one after the other, with work of
+// ours on its machines: the owners to come ask home before they answer, and the
+// work goes on.
+func TestPartnerRestartedInTurn(t *testing.T) {
+	var ids []string
+	w, e := pair(t, "partner-rolled", 17, 150, func(w, e *Sim) {
+		ids = busy(w, e)
+		for i, n := range e.all {
+			at := 16 + 3*float64(i)
+			w.At(at, e.Nodes[n].Crash)
+			w.At(at+2, e.Nodes[n].Start)
+		}
+	})
+	over(t, w, e, wire.Done, ids...)
+	if n := strings.Count(w.Text(), " starts "); n != 64 {
+		t.Errorf("%d starts of 64 tasks: a restart cost work", n)
+	}
+}
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -256,7 +256,8 @@
 		run := m.Runs[key]
 		// Home reckons that an answer given after the permit's end, which
 		// renews the machine's lease, stops all that is there of the loan.
-		if run.lapsed(now) && !run.Over() && run.MayBeThere() {
+		// (Direct orders renew nothing.)
+		if !direct && run.lapsed(now) && !run.Over() && run.MayBeThere() {
 			run.Halt, run.Grace = true, 0
 		} else if len(halts)+len(launches)+len(reaps) >= maxOrders {
 			continue
@@ -308,6 +309,17 @@
 	return false
 }
 
+// Unpermitted tells whether a borrowed task is there that an answer would have
+// to stop.
+func (m *Machine) Unpermitted(now time.Duration) bool {
+	for _, run := range m.Runs {
+		if run.lapsed(now) && !run.Halt && !run.Over() && run.MayBeThere() {
+			return true
+		}
+	}
+	return false
+}
+
 // Answered notes that a report is answered with 200 now.
 func (m *Machine) Answered(now time.Duration) {
 	if now > m.LastAnswer {
