--- a/internal/federation/federation_test.go
+++ b/internal/federation/federation_test.go
@@ -100,7 +100,7 @@
 	ok := wire.Job{Shape: wire.Array, Tasks: 8, Cores: 1}
 	for what, edit := range map[string]func(j *wire.Job){
 		"": func(*wire.Job) {}, "number of tasks": func(j *wire.Job) { j.Tasks = 1 << 30 }, "an amount": func(j *wire.Job) { j.Cores = -1 },
-		"shape": func(j *wire.Job) { j.Shape = "x" }, "field too long": func(j *wire.Job) { j.Image = strings.Repeat("x", 5000) },
+		"neither cores nor GPUs": func(j *wire.Job) { j.Cores = 0 }, "shape": func(j *wire.Job) { j.Shape = "x" }, "field too long": func(j *wire.Job) { j.Image = strings.Repeat("x", 5000) },
 		"zone: it names one of its home": func(j *wire.Job) { j.Zone = "a" },
 	} {
 		j := ok
--- a/internal/federation/host.go
+++ b/internal/federation/host.go
@@ -14,14 +14,16 @@
 
 // --- host: offers, acceptance, states, renewals of what is borrowed ---
 
-// lent sums the cores of what a home has here, whether it runs or not.
-func (d *Desk) lent(home string) (cores float64) {
+// lent sums what a home has here, whether it runs or not.
+func (d *Desk) lent(home string) (cores float64, loans, tasks int) {
 	for id := range d.borrowed {
 		if rec := d.h.Job(id); rec != nil && rec.Loan != nil && rec.Loan.Home == home {
 			cores += float64(rec.Job.Tasks) * max(rec.Job.Cores, rec.Job.GPUs)
+			loans++
+			tasks += rec.Job.Tasks
 		}
 	}
-	return cores
+	return cores, loans, tasks
 }
 
 // Offers answers a home, as the host's leader. What is offered is held for a
@@ -48,14 +50,15 @@
 			heldHome += o.cores
 		}
 	}
-	free := lendable(p, d.h.Cores(), d.lent(from)+heldHome)
+	lent, loans, tasks := d.lent(from)
+	free := lendable(p, d.h.Cores(), lent+heldHome)
 	out := &OffersAnswer{}
 	for _, w := range in.Wants {
 		j := borrowedJob(w.Job.ID, from, &w.Job)
 		j.Tasks = w.Tasks
 		of := Offer{}
 		switch weight := max(j.Cores, j.GPUs); {
-		case sane(&j) != "" || len(d.offers) >= 4*mostWants:
+		case sane(&j) != "" || len(d.offers) >= 4*mostWants || loans >= mostLoans || tasks+j.Tasks > mostTasks:
 			of.Why = "cannot be offered"
 		default:
 			best, room := 0, 0
@@ -78,6 +81,7 @@
 			of.ID = d.tenure<<16 + d.offerNo
 			d.offers[of.ID] = &offer{from, j.Tasks, cores, now + 4*d.report(), best, false}
 			held[best] += cores
+			loans, tasks = loans+1, tasks+j.Tasks
 			free -= cores
 			d.Count.Offered++
 		}
--- a/internal/federation/words.go
+++ b/internal/federation/words.go
@@ -23,6 +23,10 @@
 	mostLoans = 400
 )
 
+// mostTasks bounds what a host keeps in memory for one home: a byte or so each,
+// in every controller that runs them.
+const mostTasks = 1 << 16
+
 // Want is work that waits at home.
 type Want struct {
 	Job   wire.Job `cbor:"j"`
@@ -115,10 +119,12 @@
 func sane(j *wire.Job) string {
 	ok := func(v float64) bool { return v >= 0 && v < 1e9 }
 	switch {
-	case j.Tasks < 1 || j.Tasks > 100000:
+	case j.Tasks < 1 || j.Tasks > mostTasks:
 		return "number of tasks"
 	case !ok(j.Cores) || !ok(j.GPUs) || !ok(j.Memory) || !ok(j.ImageGb) || !ok(j.Estimate) || !ok(j.Mark) || !ok(j.Save) || !ok(j.Deadline):
 		return "an amount"
+	case j.Cores <= 0 && j.GPUs <= 0: // the share is counted in these
+		return "neither cores nor GPUs"
 	case j.Shape != wire.Array && j.Shape != wire.Gang && j.Shape != wire.Service:
 		return "shape"
 	case j.Zone != "":
