Nomad job files, begun: the language, every field's standing, curlew nomad validate and plan

Contractors' files are to be taken as they are, and what cannot be honoured refused by place and reason. The HCL form is read within bounds (size, depth, loops, values), every field of the published specification is honoured, refused or harmless by one table that also makes the document's, and a file becomes one native job a group, with what was assumed said. Nothing is run yet, and files that need what is missing are refused.

--- a/cmd/curlew/main.go
+++ b/cmd/curlew/main.go
@@ -30,7 +30,7 @@
 		Args:          cobra.NoArgs,
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(devCommand(), auditCommand(), keysCommand(), traceCommand(), metricsCommand())
+	root.AddCommand(devCommand(), auditCommand(), keysCommand(), traceCommand(), metricsCommand(), nomadCommand())
 	root.AddCommand(jobCommands()...)
 	return root
 }
--- /dev/null
+++ b/cmd/curlew/nomad.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"curlewspool/internal/nomad"
+)
+
+type nativeJSON struct {
+	ID      string         `json:"id"`
+	Group   string         `json:"group"`
+	Job     map[string]any `json:"job"`
+	Assumed []string       `json:"assumed"`
+}
+
+func nomadCommand() *cobra.Command {
+	root := &cobra.Command{Use: "nomad", Short: "Job files of Nomad's format: what they would be here, or why not", Args: cobra.NoArgs}
+	rules := nomad.DefaultRules()
+	in := nomad.Inputs{Env: os.Environ()}
+	var asJSON bool
+	load := func(name string) (*nomad.Plan, error) {
+		st, err := os.Stat(name)
+		if err != nil {
+			return nil, err
+		}
+		if st.Size() > nomad.MaxSource {
+			return nil, fmt.Errorf("%s: larger than %d bytes", name, nomad.MaxSource)
+		}
+		src, err := os.ReadFile(name)
+		if err != nil {
+			return nil, err
+		}
+		n, err := nomad.Read(name, src, in)
+		if err != nil {
+			return nil, err
+		}
+		return nomad.Jobs(n, rules)
+	}
+	flags := func(c *cobra.Command) *cobra.Command {
+		f := c.Flags()
+		f.StringArrayVar(&in.Vars, "var", nil, "name=value of a variable")
+		f.StringArrayVar(&in.Files, "var-file", nil, "file with values of variables")
+		f.Float64Var(&rules.MHz, "mhz", rules.MHz, "how many MHz are a core")
+		f.StringVar(&rules.Team, "team", rules.Team, "team of jobs that name none")
+		f.BoolVar(&asJSON, "json", false, "print JSON")
+		return c
+	}
+	// A file that is refused ends with status 1 and a line for each reason.
+	refused := func(c *cobra.Command, err error) error {
+		var p nomad.Problems
+		if !errors.As(err, &p) {
+			return err
+		}
+		if asJSON {
+			_ = show(c.OutOrStdout(), true, struct {
+				Problems []string `json:"problems"`
+			}{p}, nil)
+		} else {
+			for _, x := range p {
+				fmt.Fprintln(c.ErrOrStderr(), x)
+			}
+		}
+		return fmt.Errorf("refused for %d reasons", len(p))
+	}
+	root.AddCommand(flags(&cobra.Command{Use: "validate FILE", Short: "Say whether a file is taken, or all that is wrong with it", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			p, err := load(args[0])
+			if err != nil {
+				return refused(c, err)
+			}
+			return show(c.OutOrStdout(), asJSON, struct {
+				Jobs int `json:"jobs"`
+			}{len(p.Jobs)}, func(w io.Writer) { fmt.Fprintf(w, "%s: taken, %d native jobs\n", args[0], len(p.Jobs)) })
+		}}), flags(&cobra.Command{Use: "plan FILE", Short: "Show the native jobs that a file is, and what is assumed", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			p, err := load(args[0])
+			if err != nil {
+				return refused(c, err)
+			}
+			var out []nativeJSON
+			for _, n := range p.Jobs {
+				out = append(out, nativeJSON{*n.Job.ID, n.Group, n.Words(), n.Assumed})
+			}
+			return show(c.OutOrStdout(), asJSON, out, func(w io.Writer) {
+				for _, n := range p.Jobs {
+					j := n.Job
+					fmt.Fprintf(w, "group %s: %s %s of %d tasks, each %.4g cores, %.4g GPUs, %.4g GB; class %s, team %s, rank %s\n", n.Group, *j.Shape, *j.ID,
+						*j.Pieces, *j.Cores, *j.GPUs, *j.Memory, *j.Trade, *j.Crew, *j.Rank)
+					for _, a := range n.Assumed {
+						fmt.Fprintln(w, "  assumed:", a)
+					}
+				}
+			})
+		}}))
+	return root
+}
--- /dev/null
+++ b/internal/nomad/fields.go
@@ -0,0 +1,151 @@
+package nomad
+
+// Standing of a field of the published job specification.
+type Standing int
+
+// A field is honoured, refused with a reason, or harmless: it cannot change what
+// runs, where, or how often.
+const (
+	Honoured Standing = iota
+	Refused
+	Harmless
+)
+
+// Field is one attribute or block of the specification.
+type Field struct {
+	Path     string // below job, such as group.task.resources.cpu; a block ends in /
+	Standing Standing
+	Note     string // honoured: as what; refused, harmless: why
+}
+
+const (
+	oneProcess = "a task here is one process of a described command: there is no network of its own"
+	classRule  = "how often a task runs again is the class's rule, not the file's (docs/nomad.md)"
+	noHooks    = "tasks of a group are alike and have no order among them"
+	noStore    = "tasks have no volumes; what they keep is outside the machine"
+	noSecrets  = "there is no secret store here"
+)
+
+// Fields lists every block and field of the published job specification. The
+// table in docs/nomad.md is made from it.
+var Fields = []Field{
+	{"affinity/", Refused, "a leaning that might be ignored would be a quiet change; use constraint"},
+	{"all_at_once", Harmless, "a native job starts as its shape says; this only loosens order"},
+	{"constraint/", Honoured, "machine types and zones"},
+	{"constraint.attribute", Honoured, "${node.class}, ${attr.machine.type}: type; ${node.datacenter}, ${attr.zone}: zone; others are refused"},
+	{"constraint.operator", Honoured, "=, ==, is, set_contains_any; others are refused"},
+	{"constraint.value", Honoured, "the type or zone, several with commas for set_contains_any"},
+	{"datacenters", Honoured, "zones; one, or all (*)"},
+	{"group/", Honoured, "one native job a group"},
+	{"meta/", Honoured, "keys that start with curlew_: see below; others are kept with the job"},
+	{"migrate/", Refused, "moves are the scheduler's: stateless work is moved, never two copies at once"},
+	{"multiregion/", Refused, "partner clusters are the operators' (docs/partners.md)"},
+	{"name", Harmless, "shown only"},
+	{"namespace", Honoured, "part of the job's id"},
+	{"node_pool", Refused, "there are no pools; constrain the machine type"},
+	{"parameterized/", Refused, "dispatch is not built yet"},
+	{"periodic/", Refused, "periodic jobs are not built yet"},
+	{"priority", Honoured, "1-33 low, 34-66 normal, 67-89 high, 90-100 prod"},
+	{"region", Honoured, "must be global or left out"},
+	{"reschedule/", Refused, classRule},
+	{"spread/", Honoured, "of the group over ${node.datacenter}: at most half in a zone"},
+	{"type", Honoured, "batch: array or gang; service: service; system, sysbatch: refused"},
+	{"update/", Refused, "roll-outs are not built yet"},
+	{"ui/", Harmless, "shown only"},
+	{"vault/", Refused, noSecrets},
+	{"vault_token", Refused, noSecrets},
+	{"consul_token", Refused, noSecrets},
+	{"id", Honoured, "in place of the job's label"},
+	{"version", Harmless, "the registry gives versions"},
+	{"group.affinity/", Refused, "a leaning that might be ignored would be a quiet change"},
+	{"group.constraint/", Honoured, "as the job's"},
+	{"group.consul/", Refused, oneProcess},
+	{"group.count", Honoured, "tasks of the native job, at most 100,000"},
+	{"group.disconnect/", Refused, "what a silent machine may do is fixed by its lease"},
+	{"group.ephemeral_disk/", Honoured, "migrate and sticky false; see its fields"},
+	{"group.ephemeral_disk.migrate", Refused, noStore},
+	{"group.ephemeral_disk.size", Harmless, "machines' disks are not shared out by size"},
+	{"group.ephemeral_disk.sticky", Refused, noStore},
+	{"group.max_client_disconnect", Refused, "what a silent machine may do is fixed by its lease"},
+	{"group.meta/", Honoured, "as the job's, and before it"},
+	{"group.migrate/", Refused, "moves are the scheduler's"},
+	{"group.network/", Refused, oneProcess},
+	{"group.prevent_reschedule_on_lost", Refused, classRule},
+	{"group.reschedule/", Refused, classRule},
+	{"group.restart/", Refused, classRule},
+	{"group.scaling/", Refused, "an autoscaler would be told nothing"},
+	{"group.service/", Refused, oneProcess},
+	{"group.shutdown_delay", Refused, "a stop has one grace, kill_timeout"},
+	{"group.spread/", Honoured, "over ${node.datacenter}: at most half in a zone"},
+	{"group.stop_after_client_disconnect", Refused, "what a silent machine may do is fixed by its lease"},
+	{"group.task/", Honoured, "one; a group of several tasks is refused: " + noHooks},
+	{"group.update/", Refused, "roll-outs are not built yet"},
+	{"group.vault/", Refused, noSecrets},
+	{"group.volume/", Refused, noStore},
+	{"group.task.action/", Refused, "nothing is run in a task from outside"},
+	{"group.task.affinity/", Refused, "a leaning that might be ignored would be a quiet change"},
+	{"group.task.artifact/", Refused, "what a task needs is in its image"},
+	{"group.task.config/", Honoured, "image; the rest is the described command's, kept with the job"},
+	{"group.task.constraint/", Honoured, "as the job's"},
+	{"group.task.consul/", Refused, oneProcess},
+	{"group.task.csi_plugin/", Refused, noStore},
+	{"group.task.dispatch_payload/", Refused, "dispatch is not built yet"},
+	{"group.task.driver", Honoured, "any word; the image and command are described to the machines"},
+	{"group.task.env/", Honoured, "kept with the job's description"},
+	{"group.task.identity/", Refused, noSecrets},
+	{"group.task.kill_signal", Refused, "the worker chooses how it stops a task"},
+	{"group.task.kill_timeout", Honoured, "time to save (stowS) of tasks with checkpoints; without them more than the default of 5 s is refused"},
+	{"group.task.kind", Refused, oneProcess},
+	{"group.task.leader", Refused, noHooks},
+	{"group.task.lifecycle/", Refused, noHooks},
+	{"group.task.logs/", Harmless, "logs are kept by the worker's own bounds"},
+	{"group.task.meta/", Honoured, "as the group's, and before it"},
+	{"group.task.resources/", Honoured, "see its fields"},
+	{"group.task.resources.cores", Honoured, "cores of a task; not with cpu"},
+	{"group.task.resources.cpu", Honoured, "MHz; how many are a core is the operator's setting"},
+	{"group.task.resources.device/", Honoured, "label gpu or nvidia/gpu: accelerators; others are refused"},
+	{"group.task.resources.device.affinity/", Refused, "a leaning that might be ignored would be a quiet change"},
+	{"group.task.resources.device.constraint/", Refused, "accelerators are alike; constrain the machine type"},
+	{"group.task.resources.device.count", Honoured, "accelerators of a task"},
+	{"group.task.resources.disk", Harmless, "machines' disks are not shared out by size"},
+	{"group.task.resources.iops", Harmless, "not used by the specification any more"},
+	{"group.task.resources.memory", Honoured, "MB, as memoryGb"},
+	{"group.task.resources.memory_max", Refused, "memory is what was asked for; nothing above it is lent"},
+	{"group.task.resources.network/", Refused, oneProcess},
+	{"group.task.resources.numa/", Refused, "placement inside a machine is its own"},
+	{"group.task.resources.secrets", Refused, noSecrets},
+	{"group.task.restart/", Refused, classRule},
+	{"group.task.scaling/", Refused, "an autoscaler would be told nothing"},
+	{"group.task.schedule/", Refused, "a task runs until it is done"},
+	{"group.task.secret/", Refused, noSecrets},
+	{"group.task.service/", Refused, oneProcess},
+	{"group.task.shutdown_delay", Refused, "a stop has one grace, kill_timeout"},
+	{"group.task.template/", Refused, "what a task reads is in its image and environment"},
+	{"group.task.user", Refused, "the user is the described command's"},
+	{"group.task.vault/", Refused, noSecrets},
+	{"group.task.volume_mount/", Refused, noStore},
+}
+
+// MetaKeys are the keys of meta that say what the specification cannot.
+var MetaKeys = map[string]string{
+	"curlew_class":        "class of jobs (trade)",
+	"curlew_team":         "team (crew)",
+	"curlew_estimate_s":   "expected run time of a task in seconds",
+	"curlew_checkpoint_s": "seconds of progress between checkpoints",
+	"curlew_due_s":        "deadline in seconds from submission",
+	"curlew_image_gb":     "size of the image in GB",
+	"curlew_gang":         "yes: all tasks of the group run at the same time or none does",
+	"curlew_one_zone":     "yes: all tasks in one zone",
+	"curlew_spot":         "yes or no: may use spot machines",
+}
+
+// free blocks hold whatever keys their user likes.
+var free = map[string]bool{"meta": true, "group.meta": true, "group.task.meta": true, "group.task.env": true, "group.task.config": true}
+
+var byPath = func() map[string]*Field {
+	m := map[string]*Field{}
+	for i := range Fields {
+		m[Fields[i].Path] = &Fields[i]
+	}
+	return m
+}()
--- /dev/null
+++ b/internal/nomad/nomad_test.go
@@ -0,0 +1,226 @@
+package nomad
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+var update = flag.Bool("update", false, "write the golden files and the table in docs/nomad.md anew")
+
+func golden(t *testing.T, name, text string) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(name, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if text != string(want) {
+		t.Errorf("%s differs:\n%s", name, text)
+	}
+}
+
+func testRules() Rules {
+	r := DefaultRules()
+	r.Classes["scan"] = Class{Estimate: 20, ImageGb: 0.9, Spot: true}
+	return r
+}
+
+func read(file string) (*Plan, error) {
+	src, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	n, err := Read(filepath.Base(file), src, Inputs{Vars: []string{"zone=thies-hall"}, Env: []string{"NOMAD_VAR_zone=dakar", "NOMAD_VAR_other=1"}})
+	if err != nil {
+		return nil, err
+	}
+	return Jobs(n, testRules())
+}
+
+// The native jobs that files become, with all that was assumed.
+func TestTaken(t *testing.T) {
+	files, _ := filepath.Glob("testdata/taken/*.nomad")
+	var b strings.Builder
+	for _, f := range files {
+		in := []string{"zone=thies-hall"}
+		if !strings.Contains(f, "scan") {
+			in = nil
+		}
+		src, _ := os.ReadFile(f)
+		n, err := Read(filepath.Base(f), src, Inputs{Vars: in})
+		if err != nil {
+			t.Errorf("%s: %v", f, err)
+			continue
+		}
+		p, err := Jobs(n, testRules())
+		if err != nil {
+			t.Errorf("%s: %v", f, err)
+			continue
+		}
+		for _, j := range p.Jobs {
+			if _, bad := j.Job.Check(); bad != "" {
+				t.Errorf("%s: the scheduler would refuse it: %s", f, bad)
+			}
+			w, _ := json.MarshalIndent(struct {
+				Job     map[string]any `json:"job"`
+				Assumed []string       `json:"assumed"`
+			}{j.Words(), j.Assumed}, "", "  ")
+			fmt.Fprintf(&b, "%s, group %s: %s\n", filepath.Base(f), j.Group, w)
+		}
+	}
+	golden(t, "testdata/taken.golden", b.String())
+}
+
+// What is refused, all of it at once, each with its place and reason, within
+// bounded time.
+func TestRefused(t *testing.T) {
+	files, _ := filepath.Glob("testdata/refused/*.nomad")
+	var b strings.Builder
+	for _, f := range files {
+		src, _ := os.ReadFile(f)
+		began := time.Now()
+		n, err := Read(filepath.Base(f), src, Inputs{})
+		if err == nil {
+			_, err = Jobs(n, testRules())
+		}
+		if err == nil {
+			t.Errorf("%s was taken", f)
+		}
+		if d := time.Since(began); d > 5*time.Second {
+			t.Errorf("%s took %v", f, d)
+		}
+		fmt.Fprintf(&b, "%v\n\n", err)
+	}
+	golden(t, "testdata/refused.golden", b.String())
+}
+
+// Values of variables: a flag goes before a file, a file before the environment.
+func TestVariables(t *testing.T) {
+	src := "variable \"a\" {\n  default = \"d\"\n}\nvariable \"l\" {\n  type = list(string)\n  default = []\n}\njob \"j\" {\n  name = \"${var.a}-${length(var.l)}\"\n}\n"
+	file := filepath.Join(t.TempDir(), "v.hcl")
+	if err := os.WriteFile(file, []byte("a = \"f\"\n"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		in   Inputs
+		want string
+	}{
+		{Inputs{}, "d-0"},
+		{Inputs{Env: []string{"NOMAD_VAR_a=e"}}, "e-0"},
+		{Inputs{Env: []string{"NOMAD_VAR_a=e"}, Files: []string{file}}, "f-0"},
+		{Inputs{Files: []string{file}, Vars: []string{"a=v", `l=["x","y"]`}}, "v-2"},
+		{Inputs{Vars: []string{"b=v"}}, `there is no variable "b"`},
+		{Inputs{Vars: []string{"l=["}}, "is no value"},
+	} {
+		got := ""
+		if n, err := Read("t", []byte(src), c.in); err != nil {
+			got = err.Error()
+		} else {
+			got = n.Attrs["name"].V.AsString()
+		}
+		if !strings.Contains(got, c.want) {
+			t.Errorf("%+v: %q, want %q", c.in, got, c.want)
+		}
+	}
+}
+
+// Large, deep and long files end in time with one clear line.
+func TestBounds(t *testing.T) {
+	deep := "job \"j\" {\n  x = " + strings.Repeat("[", 5000) + strings.Repeat("]", 5000) + "\n}\n"
+	long := "job \"j\" {\n  type = \"batch\"\n  group \"g\" {\n    task \"t\" {\n      driver = \"exec\"\n      env {\n"
+	for i := range 10000 {
+		long += fmt.Sprintf("        K%d = \"v\"\n", i)
+	}
+	long += "      }\n    }\n  }\n}\n"
+	for _, c := range []struct{ name, src, want string }{
+		{"deep", deep, "deep"},
+		{"large", strings.Repeat("# x\n", MaxSource), "larger than"},
+		{"many blocks", "job \"j\" {\n" + strings.Repeat("  meta {\n  }\n", maxNodes+10) + "}\n", "more than"},
+		{"10,000 lines", long, ""},
+		{"huge count", "job \"j\" {\n  type = \"batch\"\n  group \"g\" {\n    count = 1e300\n    task \"t\" {\n      driver = \"exec\"\n    }\n  }\n}\n", "count"},
+		{"many copies", "job \"j\" {\n  dynamic \"group\" {\n    for_each = range(1000000)\n    content {\n    }\n  }\n}\n", "larger than"},
+	} {
+		began := time.Now()
+		n, err := Read("t", []byte(c.src), Inputs{})
+		if err == nil {
+			_, err = Jobs(n, testRules())
+		}
+		if got := fmt.Sprint(err); c.want == "" && err != nil || !strings.Contains(got, c.want) {
+			t.Errorf("%s: %.200s, want %q", c.name, got, c.want)
+		}
+		if d := time.Since(began); d > 5*time.Second {
+			t.Errorf("%s took %v", c.name, d)
+		}
+	}
+}
+
+// FuzzRead: no input ends the reader, or holds it for long.
+func FuzzRead(f *testing.F) {
+	files, _ := filepath.Glob("testdata/*/*.nomad")
+	for _, name := range files {
+		if b, err := os.ReadFile(name); err == nil {
+			f.Add(b)
+		}
+	}
+	f.Fuzz(func(t *testing.T, src []byte) {
+		if len(src) > 1<<16 {
+			return
+		}
+		began := time.Now()
+		if n, err := Read("f", src, Inputs{}); err == nil {
+			if p, err := Jobs(n, testRules()); err == nil {
+				for _, j := range p.Jobs {
+					if _, bad := j.Job.Check(); bad != "" {
+						t.Errorf("taken, but the scheduler would refuse it: %s", bad)
+					}
+				}
+			}
+		}
+		if d := time.Since(began); d > 10*time.Second {
+			t.Errorf("took %v", d)
+		}
+	})
+}
+
+// The table in the document is made from Fields.
+func TestTable(t *testing.T) {
+	var b strings.Builder
+	words := map[Standing]string{Honoured: "honoured", Refused: "refused", Harmless: "harmless"}
+	for _, f := range Fields {
+		kind, path := "", f.Path
+		if strings.HasSuffix(path, "/") {
+			kind, path = "block ", strings.TrimSuffix(path, "/")
+		}
+		fmt.Fprintf(&b, "| %s`%s` | %s | %s |\n", kind, path, words[f.Standing], f.Note)
+	}
+	const from, to = "<!-- table -->\n", "<!-- end of table -->"
+	name := "../../docs/nomad.md"
+	doc, err := os.ReadFile(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	i, k := strings.Index(string(doc), from), strings.Index(string(doc), to)
+	if i < 0 || k < i {
+		t.Fatal("docs/nomad.md has no place for the table")
+	}
+	table := "| field | | as what, or why |\n| --- | --- | --- |\n" + b.String()
+	if *update {
+		if err := os.WriteFile(name, []byte(string(doc[:i])+from+table+string(doc[k:])), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	if string(doc[i+len(from):k]) != table {
+		t.Error("the table in docs/nomad.md is not that of Fields: run with -update")
+	}
+}
