Nomad job files: the JSON form, read into the same tree

Contractors' tools write the JSON form of the published API. The same job in both forms is the same native job; a server's own fields and empty ones are passed over, what cannot be honoured is refused by its path.

--- a/cmd/curlew/nomad.go
+++ b/cmd/curlew/nomad.go
@@ -35,7 +35,7 @@
 		if err != nil {
 			return nil, err
 		}
-		n, err := nomad.Read(name, src, in)
+		n, err := nomad.ReadAny(name, src, in)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/nomad/nomad_test.go
+++ b/internal/nomad/nomad_test.go
@@ -35,29 +35,40 @@
 	return r
 }
 
-func read(file string) (*Plan, error) {
-	src, err := os.ReadFile(file)
-	if err != nil {
-		return nil, err
+// The same job in both forms is the same native job.
+func TestBothForms(t *testing.T) {
+	form := func(file string, in Inputs) string {
+		src, err := os.ReadFile("testdata/taken/" + file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n, err := ReadAny(file, src, in)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p, err := Jobs(n, testRules())
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, _ := json.Marshal(p.Jobs[0].Words())
+		return string(b)
 	}
-	n, err := Read(filepath.Base(file), src, Inputs{Vars: []string{"zone=thies-hall"}, Env: []string{"NOMAD_VAR_zone=dakar", "NOMAD_VAR_other=1"}})
-	if err != nil {
-		return nil, err
+	if a, b := form("scan.nomad", Inputs{Vars: []string{"zone=thies-hall"}}), form("scan.json", Inputs{}); a != b {
+		t.Errorf("HCL  %s\nJSON %s", a, b)
 	}
-	return Jobs(n, testRules())
 }
 
 // The native jobs that files become, with all that was assumed.
 func TestTaken(t *testing.T) {
-	files, _ := filepath.Glob("testdata/taken/*.nomad")
+	files, _ := filepath.Glob("testdata/taken/*")
 	var b strings.Builder
 	for _, f := range files {
 		in := []string{"zone=thies-hall"}
-		if !strings.Contains(f, "scan") {
+		if !strings.Contains(f, "scan.nomad") {
 			in = nil
 		}
 		src, _ := os.ReadFile(f)
-		n, err := Read(filepath.Base(f), src, Inputs{Vars: in})
+		n, err := ReadAny(filepath.Base(f), src, Inputs{Vars: in})
 		if err != nil {
 			t.Errorf("%s: %v", f, err)
 			continue
@@ -84,12 +95,12 @@
 // What is refused, all of it at once, each with its place and reason, within
 // bounded time.
 func TestRefused(t *testing.T) {
-	files, _ := filepath.Glob("testdata/refused/*.nomad")
+	files, _ := filepath.Glob("testdata/refused/*")
 	var b strings.Builder
 	for _, f := range files {
 		src, _ := os.ReadFile(f)
 		began := time.Now()
-		n, err := Read(filepath.Base(f), src, Inputs{})
+		n, err := ReadAny(filepath.Base(f), src, Inputs{})
 		if err == nil {
 			_, err = Jobs(n, testRules())
 		}
@@ -166,7 +177,7 @@
 
 // FuzzRead: no input ends the reader, or holds it for long.
 func FuzzRead(f *testing.F) {
-	files, _ := filepath.Glob("testdata/*/*.nomad")
+	files, _ := filepath.Glob("testdata/*/*")
 	for _, name := range files {
 		if b, err := os.ReadFile(name); err == nil {
 			f.Add(b)
@@ -177,7 +188,7 @@
 			return
 		}
 		began := time.Now()
-		if n, err := Read("f", src, Inputs{}); err == nil {
+		if n, err := ReadAny("f", src, Inputs{}); err == nil {
 			if p, err := Jobs(n, testRules()); err == nil {
 				for _, j := range p.Jobs {
 					if _, bad := j.Job.Check(); bad != "" {
