Nomad job files: the operators' rules are read from an INI file

What files do not say was built in. An example is in deploy/nomad.ini; misspelt keys, unknown classes and values that are no amounts are refused.

--- a/cmd/curlew/nomad.go
+++ b/cmd/curlew/nomad.go
@@ -20,7 +20,8 @@
 
 func nomadCommand() *cobra.Command {
 	root := &cobra.Command{Use: "nomad", Short: "Job files of Nomad's format: what they would be here, or why not", Args: cobra.NoArgs}
-	rules := nomad.DefaultRules()
+	var rulesFile, team string
+	var mhz float64
 	in := nomad.Inputs{Env: os.Environ()}
 	var asJSON bool
 	load := func(name string) (*nomad.Plan, error) {
@@ -35,6 +36,25 @@
 		if err != nil {
 			return nil, err
 		}
+		rules := nomad.DefaultRules()
+		if rulesFile != "" {
+			b, err := os.ReadFile(rulesFile)
+			if err != nil {
+				return nil, err
+			}
+			if rules, err = nomad.ReadRules(b); err != nil {
+				return nil, fmt.Errorf("%s: %w", rulesFile, err)
+			}
+		}
+		if mhz != 0 {
+			if !(mhz >= 1 && mhz <= 1e9) {
+				return nil, fmt.Errorf("--mhz %v: must be from 1 on", mhz)
+			}
+			rules.MHz = mhz
+		}
+		if team != "" {
+			rules.Team = team
+		}
 		n, err := nomad.ReadAny(name, src, in)
 		if err != nil {
 			return nil, err
@@ -45,8 +65,9 @@
 		f := c.Flags()
 		f.StringArrayVar(&in.Vars, "var", nil, "name=value of a variable")
 		f.StringArrayVar(&in.Files, "var-file", nil, "file with values of variables")
-		f.Float64Var(&rules.MHz, "mhz", rules.MHz, "how many MHz are a core")
-		f.StringVar(&rules.Team, "team", rules.Team, "team of jobs that name none")
+		f.StringVar(&rulesFile, "rules", "", "operators' rules (INI, such as deploy/nomad.ini)")
+		f.Float64Var(&mhz, "mhz", 0, "how many MHz are a core (default: by the rules, 2500)")
+		f.StringVar(&team, "team", "", "team of jobs that name none (default: by the rules)")
 		f.BoolVar(&asJSON, "json", false, "print JSON")
 		return c
 	}
--- a/internal/nomad/nomad_test.go
+++ b/internal/nomad/nomad_test.go
@@ -235,3 +235,28 @@
 		t.Error("the table in docs/nomad.md is not that of Fields: run with -update")
 	}
 }
+
+// The example of deploy/, and mistakes in it.
+func TestRules(t *testing.T) {
+	b, err := os.ReadFile("../../deploy/nomad.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, now, want string }{
+		{"", "", ""},
+		{"mhz = 2500", "mhz = fast", "must be a number"},
+		{"mhz = 2500", "mhz = 0", "must be a number"},
+		{"team =", "crew =", "unknown setting crew"},
+		{"[class agency-sync]", "[klass agency-sync]", "unknown section"},
+		{"class = renewal-batch", "class = print", "there is no [class print]"},
+		{"spot = yes", "spot = 1", "must be yes or no"},
+	} {
+		r, err := ReadRules([]byte(strings.Replace(string(b), c.old, c.now, 1)))
+		if got := fmt.Sprint(err); c.want == "" && err != nil || c.want != "" && !strings.Contains(got, c.want) {
+			t.Errorf("%q for %q: %v, want %q", c.now, c.old, err, c.want)
+		}
+		if c.want == "" && (r.MHz != 2500 || r.Class != "renewal-batch" || r.Classes["agency-sync"] != (Class{120, 30, 2.5, false})) {
+			t.Errorf("read as %+v", r)
+		}
+	}
+}
