Federation: only the part that has a loan gives it back

Found on a reading: a borrowed job that had moved to another part could linger in the old one while a write was under way, and the old owner could have written that nothing of it is left while it ran in the other: home would have run it, too. The end now needs the job in the writer's own part. Tests: a part from which the job moved writes no end (it did before the fix); nothing borrowed is placed, or head, before its home's word.

--- a/internal/nomad/jobs.go
+++ b/internal/nomad/jobs.go
@@ -194,19 +194,6 @@
 	return f
 }
 
-func (m *mapper) yes(n *Node, attr string) bool {
-	v, ok := n.Attrs[attr]
-	if !ok {
-		return false
-	}
-	x, err := convert.Convert(v.V, cty.Bool)
-	if err != nil || x.IsNull() {
-		m.bad(v.At, "%s must be true or false", attr)
-		return false
-	}
-	return x.True()
-}
-
 // seconds reads a duration: text such as "30s", or nanoseconds in the JSON form.
 func (m *mapper) seconds(n *Node, attr string, def float64) float64 {
 	v, ok := n.Attrs[attr]
--- a/internal/part/loan.go
+++ b/internal/part/loan.go
@@ -161,7 +161,7 @@
 // Loans lists the borrowed jobs here, with their permits.
 func (p *Part) Loans(f func(rec *JobRecord, permit *loan.Permit)) {
 	for _, w := range p.works() {
-		if w.borrowed() {
+		if w.borrowed() && w.mine > 0 {
 			f(w.Rec, w.permit)
 		}
 	}
@@ -189,6 +189,11 @@
 			}
 		}
 	}
+	// A job that has moved on to another part may linger here while a write is
+	// under way; what is left of it elsewhere is not known here.
+	if w.mine == 0 {
+		return
+	}
 	switch {
 	case l.Ending || w.over, l.Recall && p.cleared(w):
 		p.giveBack(w)
@@ -262,7 +267,7 @@
 	id := w.Rec.Job.ID
 	p.h.Ledger().Write(ledger.Soon, &ledger.Write{
 		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
-			if p.Works[id] != w || !p.cleared(w) {
+			if p.Works[id] != w || w.mine == 0 || !p.cleared(w) {
 				return nil, nil
 			}
 			limit := int(p.h.Settings().Deployment.State.ValueKB * 1024 * 0.35)
