--- a/cmd/curlew/keys.go
+++ b/cmd/curlew/keys.go
@@ -12,7 +12,7 @@
 )
 
 func keysCommand() *cobra.Command {
-	root := &cobra.Command{Use: "keys", Short: "Make and read the certificates by which clusters know each other", Args: cobra.NoArgs}
+	root := &cobra.Command{Use: "keys", Short: "Make and read the certificates by which clusters know each other", Args: cobra.NoArgs, RunE: help}
 	var dir, ca, cluster, name string
 	var life time.Duration
 	makeCA := &cobra.Command{Use: "ca", Short: "Make an authority", Args: cobra.NoArgs,
--- a/cmd/curlew/main.go
+++ b/cmd/curlew/main.go
@@ -28,6 +28,7 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 		Args:          cobra.NoArgs,
+		RunE:          help,
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.AddCommand(devCommand(), auditCommand(), keysCommand(), traceCommand(), metricsCommand(), nomadCommand())
@@ -35,6 +36,10 @@
 	return root
 }
 
+// help is what a command with others below it does by itself; without it a
+// misspelt one below would end with status 0.
+func help(c *cobra.Command, _ []string) error { return c.Help() }
+
 // show prints v as JSON, or by the words of people.
 func show(out io.Writer, asJSON bool, v any, words func(io.Writer)) error {
 	if !asJSON {
--- a/cmd/curlew/nomad.go
+++ b/cmd/curlew/nomad.go
@@ -19,7 +19,7 @@
 }
 
 func nomadCommand() *cobra.Command {
-	root := &cobra.Command{Use: "nomad", Short: "Job files of Nomad's format: what they would be here, or why not", Args: cobra.NoArgs}
+	root := &cobra.Command{Use: "nomad", Short: "Job files of Nomad's format: what they would be here, or why not", Args: cobra.NoArgs, RunE: help}
 	var rulesFile, team string
 	var mhz float64
 	in := nomad.Inputs{Env: os.Environ()}
--- /dev/null
+++ b/internal/client/client_test.go
@@ -0,0 +1,144 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"curlewspool/internal/wire"
+)
+
+// server answers by a script, a line for each request: "cut" takes the request
+// and closes the connection without an answer.
+type server struct {
+	mu     sync.Mutex
+	script []string
+	saw    []string
+}
+
+func (s *server) handle(c *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var sub struct {
+		ID string `cbor:"id"`
+	}
+	_ = wire.Decode(c.PostBody(), &sub)
+	s.saw = append(s.saw, string(c.Method())+" "+string(c.Path())+" "+sub.ID)
+	do := "cut"
+	if len(s.script) > 0 {
+		do, s.script = s.script[0], s.script[1:]
+	}
+	state := func(status int, word string) {
+		c.SetStatusCode(status)
+		c.SetBody(wire.Encode(&wire.JobState{ID: "wk-1", Status: word}))
+	}
+	switch do {
+	case "cut":
+		c.HijackSetNoResponse(true)
+		c.Hijack(func(n net.Conn) { n.Close() })
+	case "busy":
+		c.Response.Header.Set("Retry-After", "1")
+		c.SetStatusCode(503)
+		c.SetBody(wire.Encode(&wire.Problem{Error: "state service slow"}))
+	case "never":
+		c.SetStatusCode(422)
+		c.SetBody(wire.Encode(&wire.Problem{Error: "unknown team"}))
+	case "none":
+		c.SetStatusCode(404)
+	case "accepted":
+		state(201, wire.Pending)
+	default:
+		state(200, do)
+	}
+}
+
+func start(t *testing.T, script ...string) (*server, *Client) {
+	t.Helper()
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{script: script}
+	f := &fasthttp.Server{Handler: s.handle}
+	go func() { _ = f.Serve(ln) }()
+	t.Cleanup(func() { _ = f.Shutdown() })
+	c, err := New(" " + ln.Addr().String() + ", ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Pause, c.Patience = 5*time.Millisecond, 4*time.Second
+	return s, c
+}
+
+// A submission whose answer is lost is repeated under its own id, after the
+// pause that the cluster asks for; what a repeat would not change is not.
+func TestSubmit(t *testing.T) {
+	id := "wk-1"
+	for _, c := range []struct {
+		script []string
+		tries  int
+		want   string
+	}{
+		{[]string{"accepted"}, 1, "pending"},
+		{[]string{"cut", "cut", "running"}, 3, "running"},
+		{[]string{"busy", "accepted"}, 2, "pending"},
+		{[]string{"never", "accepted"}, 1, "refused with 422: unknown team"},
+	} {
+		s, cl := start(t, c.script...)
+		began := time.Now()
+		st, err := cl.Submit(context.Background(), &wire.Submission{ID: &id})
+		got := ""
+		var refused *Refused
+		switch {
+		case err == nil:
+			got = st.Status
+		case errors.As(err, &refused):
+			got = err.Error()
+		default:
+			t.Errorf("%v: %v", c.script, err)
+		}
+		if got != c.want || len(s.saw) != c.tries {
+			t.Errorf("%v: %q after %d tries, want %q after %d", c.script, got, len(s.saw), c.want, c.tries)
+		}
+		for _, x := range s.saw {
+			if x != "POST /v2/runs wk-1" {
+				t.Errorf("%v: asked %q", c.script, x)
+			}
+		}
+		if c.script[0] == "busy" && time.Since(began) < time.Second {
+			t.Error("asked again before Retry-After")
+		}
+	}
+}
+
+// Wait ends with a final state only, and tells each change once.
+func TestWait(t *testing.T) {
+	_, cl := start(t, "pending", "cut", "pending", "running", "busy", "running", "done")
+	said := ""
+	st, err := cl.Wait(context.Background(), "wk-1", func(s *wire.JobState) { said += s.Status + " " })
+	if err != nil || st.Status != wire.Done || said != "pending running done " {
+		t.Errorf("%+v %v, told %q", st, err, said)
+	}
+	_, cl = start(t, "none")
+	if _, err := cl.Status(context.Background(), "wk-2"); !errors.Is(err, ErrNone) {
+		t.Errorf("a job that is not there: %v", err)
+	}
+}
+
+// A cluster that never answers is given up after the client's patience.
+func TestPatience(t *testing.T) {
+	_, cl := start(t)
+	cl.Patience = 50 * time.Millisecond
+	if _, err := cl.Status(context.Background(), "wk-1"); err == nil || !strings.Contains(err.Error(), "given up after 50ms") {
+		t.Errorf("%v", err)
+	}
+	if _, err := New(" , "); err == nil {
+		t.Error("a client without an address")
+	}
+}
