--- a/internal/federation/choose.go
+++ b/internal/federation/choose.go
@@ -9,6 +9,7 @@
 	"curlewspool/internal/part"
 	"curlewspool/internal/settings"
 	"curlewspool/internal/wire"
+	"curlewspool/internal/world"
 )
 
 // Waiting is a chunk that waits at home.
@@ -23,7 +24,7 @@
 // wait is what passes at the host before a loan starts: the offer, the record
 // here, the record there, the renewal and a machine's report.
 func wait(s *settings.Settings) time.Duration {
-	return time.Duration(3 * s.Deployment.Workers.Report * float64(time.Second))
+	return world.Seconds(3 * s.Deployment.Workers.Report)
 }
 
 // goes tells whether a waiting chunk may and should go to a partner, and why:
@@ -106,8 +107,9 @@
 	})
 }
 
-// overlay moves ranges of a loan to the numbers of its job.
-func overlay(r [][2]int, by, tasks int) (out [][2]int) {
+// shift moves ranges of a loan of so many tasks to the numbers of its job, by
+// being 0 to those of the loan; what is not of the loan is left out.
+func shift(r [][2]int, by, tasks int) (out [][2]int) {
 	for _, x := range r {
 		if x[0] >= 0 && x[1] >= x[0] && x[1] < tasks {
 			out = append(out, [2]int{x[0] + by, x[1] + by})
--- a/internal/federation/desk.go
+++ b/internal/federation/desk.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"curlewspool/internal/ledger"
@@ -12,6 +13,7 @@
 	"curlewspool/internal/part"
 	"curlewspool/internal/settings"
 	"curlewspool/internal/wire"
+	"curlewspool/internal/world"
 )
 
 // Host is what the desk needs of its controller.
@@ -30,9 +32,9 @@
 	Progress(id string) (done [][2]int, running int)
 	// Waiting lists the chunks that wait for room.
 	Waiting() []*Waiting
-	// Room counts for each part the tasks of a borrowed job that would start
-	// now, in room that nothing of this cluster waits for.
-	Room(j *wire.Job) []int
+	// Room gives a count, for each part, of the tasks of a borrowed job that
+	// would start now, in room that nothing of this cluster waits for.
+	Room() func(j *wire.Job) []int
 	// Cores of all machines.
 	Cores() float64
 	// Place chooses a part for a job that comes in, or comes back.
@@ -63,7 +65,7 @@
 	tenure   uint64 // of this leadership
 	renewals *loan.Renewals
 	out      map[loan.Key]*out
-	tried    map[string]time.Duration // chunks that were offered; not again before
+	tried    map[chunk]time.Duration  // chunks that were offered; not again before
 	orders   map[uint64]time.Duration // offers for which a chunk was ordered to be lent
 	near     map[string]*neighbour
 	order    []string
@@ -71,14 +73,18 @@
 	offers  map[uint64]*offer
 	offerNo uint64
 	flags   map[string]bool // writes under way
-	over    map[string]part.Final
-	ring    []string
-	ringAt  int
+	over    *part.Finals
 
 	Count Counters
 	log   Log
 }
 
+// chunk is one of a job's.
+type chunk struct {
+	job string
+	c   int
+}
+
 // neighbour is a partner as this controller sees it.
 type neighbour struct {
 	p        *settings.Partner
@@ -122,11 +128,21 @@
 	taken bool
 }
 
-// Counters are for operators; they start at 0 with the process.
+// Counters are for operators; they start at 0 with the process. The tag is the
+// word that metrics have for it.
 type Counters struct {
-	Lent, Accepted, Refused, Back, Lapsed, Recalled    int // as home
-	Offered, Declined, Borrowed, Returned, RefusedHere int // as host
-	Renewed, RenewalsMissed                            int
+	Lent           int `metric:"lent"` // from here on as home
+	Accepted       int `metric:"accepted"`
+	Refused        int `metric:"refused"`
+	Back           int `metric:"back"`
+	Lapsed         int `metric:"lapsed"`
+	Recalled       int `metric:"recalled"`
+	Offered        int `metric:"offered"` // from here on as host
+	Declined       int `metric:"declined"`
+	Borrowed       int `metric:"borrowed"`
+	RefusedHere    int `metric:"refused_here"`
+	Renewed        int `metric:"renewed"`
+	RenewalsMissed int `metric:"renewals_missed"`
 }
 
 // remembered ends of borrowed jobs.
@@ -135,8 +151,8 @@
 // New makes a desk; nil settings: none is needed.
 func New(h Host, line Line, f *settings.Federation) *Desk {
 	d := &Desk{h: h, line: line, f: f, away: map[string]bool{}, borrowed: map[string]bool{}, renewals: loan.NewRenewals(h.Now()),
-		out: map[loan.Key]*out{}, tried: map[string]time.Duration{}, orders: map[uint64]time.Duration{}, near: map[string]*neighbour{}, offers: map[uint64]*offer{},
-		flags: map[string]bool{}, over: map[string]part.Final{}}
+		out: map[loan.Key]*out{}, tried: map[chunk]time.Duration{}, orders: map[uint64]time.Duration{}, near: map[string]*neighbour{}, offers: map[uint64]*offer{},
+		flags: map[string]bool{}, over: part.NewFinals(remembered)}
 	for i := range f.Partners {
 		p := &f.Partners[i]
 		d.order = append(d.order, p.Name)
@@ -146,9 +162,7 @@
 }
 
 // Reserved: ids that belong to borrowed jobs are not for users.
-func Reserved(id string) bool {
-	return len(id) >= len(loan.Prefix) && id[:len(loan.Prefix)] == loan.Prefix
-}
+func Reserved(id string) bool { return strings.HasPrefix(id, loan.Prefix) }
 
 // Changed takes a live job's record; nil: it is over.
 func (d *Desk) Changed(id string, rec *part.JobRecord) {
@@ -179,7 +193,7 @@
 }
 
 func (d *Desk) report() time.Duration {
-	return time.Duration(d.h.Settings().Deployment.Workers.Report * float64(time.Second))
+	return world.Seconds(d.h.Settings().Deployment.Workers.Report)
 }
 
 // jitter spreads a pause by a quarter either way.
@@ -217,6 +231,8 @@
 
 // --- home ---
 
+func loanKey(job string, a *part.Away) loan.Key { return loan.Key{Job: job, First: a.First, No: a.No} }
+
 // mind looks after every loan of ours.
 func (d *Desk) mind(now time.Duration) {
 	live := map[loan.Key]bool{}
@@ -226,7 +242,7 @@
 			continue
 		}
 		for _, a := range rec.Away {
-			k := loan.Key{Job: id, First: a.First, No: a.No}
+			k := loanKey(id, &a)
 			live[k] = true
 			o := d.out[k]
 			if o == nil {
@@ -300,7 +316,7 @@
 func (d *Desk) saveEvery(loans int) time.Duration {
 	s := d.h.Settings()
 	share := s.Deployment.State.WriteRPS / 8 / float64(len(s.Names()))
-	return max(d.report(), time.Duration(float64(loans)/share*float64(time.Second)))
+	return max(d.report(), world.Seconds(float64(loans)/share))
 }
 
 // hand asks the partner to take a loan; it may be repeated.
@@ -348,84 +364,92 @@
 	case StateQueued, StateRunning:
 		o.accepted = true
 		o.running = s.Running
-		o.done = overlay(s.Done, 0, o.tasks)
+		o.done = shift(s.Done, 0, o.tasks)
 	case StateOver:
 		o.running = 0
 		o.over = true
-		o.done = overlay(s.Done, 0, o.tasks)
+		o.done = shift(s.Done, 0, o.tasks)
 	case StateUnknown:
 		o.accepted = false // if the offer still stands it is handed over again
 	}
 }
 
-// takeBack gives the chunk a part again. While it is under way no renewal of
-// the loan is answered: one that was would outlive it.
-func (d *Desk) takeBack(o *out, why string, word bool) {
-	id, l := o.key.Job, d.h.Ledger()
-	o.back = true
-	l.Write(ledger.Soon, &ledger.Write{
+// rewrite changes a live job's record, as the leader. edit gets a copy, of which
+// it may replace fields but not change what they hold; false: nothing is to be
+// written.
+func (d *Desk) rewrite(urgency int, id string, edit func(r *part.JobRecord) bool, done func(ok bool)) {
+	l, key := d.h.Ledger(), part.JobKey(id)
+	l.Write(urgency, &ledger.Write{
 		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
 			rec := d.h.Job(id)
-			if !d.h.Leads() || d.out[o.key] != o || rec == nil || !word && !d.renewals.Over(o.key, o.rules(), d.h.Now()) {
+			if rec == nil || !d.h.Leads() {
 				return nil, nil
 			}
 			r := *rec
-			r.W = nonce
-			r.Away = slices.DeleteFunc(slices.Clone(rec.Away), func(a part.Away) bool { return a.No == o.key.No })
-			if len(r.Away) == len(rec.Away) {
+			if r.W = nonce; !edit(&r) {
 				return nil, nil
 			}
-			if len(r.Away) == 0 {
-				r.Away = nil
-			}
-			r.Parts = slices.Clone(rec.Parts)
-			j := rec.Job
-			j.Tasks = o.tasks
-			r.Parts[o.a.Chunk] = d.h.Place(&j, rec.Rank)
-			r.Done = part.MergeRanges(append(slices.Clone(rec.Done), overlay(o.done, o.key.First, o.key.First+o.tasks)...), d.mostRanges())
-			c := l.Stamp(part.JobKey(id))
-			return []wire.Cond{d.h.LeadGuard(), c}, []wire.Op{{Put: part.JobKey(id), Value: wire.Encode(&r)}}
-		},
-		Done: func(ok bool, _ uint64) {
-			if !ok {
-				o.back = false
-				return
-			}
-			slog.Info("federation: a loan is back", "job", id, "loan", o.key.No, "from", o.a.To, "done", count(o.done), "of", o.tasks, "why", why)
-			d.Count.Back++
-			d.note(o.key.ID(d.f.Cluster), "back", why)
-			if count(o.done) < o.tasks {
-				// Not at once to the same one, which has no room for it.
-				d.tried[chunkName(id, o.a.Chunk)] = d.h.Now() + d.jitter(4*d.report())
-			}
-			d.h.News(id)
+			return []wire.Cond{d.h.LeadGuard(), l.Stamp(key)}, []wire.Op{{Put: key, Value: wire.Encode(&r)}}
 		},
+		Done: func(ok bool, _ uint64) { done(ok) },
+	})
+}
+
+// doneOf is what is done of a job with what a partner did of a loan of it.
+func (d *Desk) doneOf(r *part.JobRecord, o *out) [][2]int {
+	return part.MergeRanges(d.mostRanges(), r.Done, shift(o.done, o.key.First, o.tasks))
+}
+
+// takeBack gives the chunk a part again. While it is under way no renewal of
+// the loan is answered: one that was would outlive it.
+func (d *Desk) takeBack(o *out, why string, word bool) {
+	id := o.key.Job
+	o.back = true
+	d.rewrite(ledger.Soon, id, func(r *part.JobRecord) bool {
+		i := slices.IndexFunc(r.Away, func(a part.Away) bool { return a.No == o.key.No })
+		if i < 0 || d.out[o.key] != o || !word && !d.renewals.Over(o.key, o.rules(), d.h.Now()) {
+			return false
+		}
+		j := r.Job
+		j.Tasks = o.tasks
+		r.Away = slices.Concat(r.Away[:i], r.Away[i+1:])
+		r.Parts = slices.Clone(r.Parts)
+		r.Parts[o.a.Chunk] = d.h.Place(&j, r.Rank)
+		r.Done = d.doneOf(r, o)
+		return true
+	}, func(ok bool) {
+		if !ok {
+			o.back = false
+			return
+		}
+		slog.Info("federation: a loan is back", "job", id, "loan", o.key.No, "from", o.a.To, "done", count(o.done), "of", o.tasks, "why", why)
+		d.Count.Back++
+		d.note(o.key.ID(d.f.Cluster), "back", why)
+		if count(o.done) < o.tasks {
+			// Not at once to the same one, which has no room for it.
+			d.tried[chunk{id, o.a.Chunk}] = d.h.Now() + d.jitter(4*d.report())
+		}
+		d.h.News(id)
 	})
 }
 
 // save notes in our ledger what the partner finished, so that a partner that
 // is lost costs little.
 func (d *Desk) save(o *out, now time.Duration) {
-	id, l := o.key.Job, d.h.Ledger()
 	o.saving, o.savedAt = true, now
 	n := 0
-	l.Write(ledger.Later, &ledger.Write{
-		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
-			rec := d.h.Job(id)
-			if !d.h.Leads() || d.out[o.key] != o || o.back || rec == nil {
-				return nil, nil
-			}
-			r := *rec
-			r.W, n = nonce, count(o.done)
-			r.Done = part.MergeRanges(append(slices.Clone(rec.Done), overlay(o.done, o.key.First, o.key.First+o.tasks)...), d.mostRanges())
-			return []wire.Cond{d.h.LeadGuard(), l.Stamp(part.JobKey(id))}, []wire.Op{{Put: part.JobKey(id), Value: wire.Encode(&r)}}
-		},
-		Done: func(ok bool, _ uint64) {
-			o.saving = false
-			if ok {
-				o.stored = n
-			}
-		},
+	d.rewrite(ledger.Later, o.key.Job, func(r *part.JobRecord) bool {
+		if d.out[o.key] != o || o.back {
+			return false
+		}
+		n = count(o.done)
+		r.Done = d.doneOf(r, o)
+		return true
+	}, func(ok bool) {
+		o.saving = false
+		if ok {
+			o.stored = n
+		}
 	})
 }
 
@@ -436,9 +460,10 @@
 
 // askStates asks a partner how its loans are, and tells it what is over here.
 func (d *Desk) askStates(nb *neighbour, now time.Duration) {
-	if nb.asking || now < nb.statesAt {
+	if nb.asking || now < nb.statesAt || len(d.out)+len(nb.ended) == 0 {
 		return
 	}
+	room := d.h.Room()
 	var list []*out
 	in := &StatesAsk{}
 	for _, k := range sortedLoans(d.out) {
@@ -449,7 +474,7 @@
 		list = append(list, o)
 		id := k.ID(d.f.Cluster)
 		in.Loans = append(in.Loans, id)
-		if o.state == StateQueued && d.fitsHere(o) {
+		if o.state == StateQueued && d.fitsHere(o, room) {
 			in.Recall = append(in.Recall, id)
 		}
 	}
@@ -494,18 +519,14 @@
 }
 
 // fitsHere: home has room now for a loan that has not started.
-func (d *Desk) fitsHere(o *out) bool {
+func (d *Desk) fitsHere(o *out, room func(*wire.Job) []int) bool {
 	rec := d.h.Job(o.key.Job)
 	if rec == nil {
 		return false
 	}
 	j := rec.Job
 	j.Tasks = o.tasks
-	return slices.Max(d.h.Room(&j)) >= o.tasks
-}
-
-func chunkName(id string, c int) string {
-	return id + "/" + string(rune('0'+c%10)) + string(rune('0'+c/10))
+	return slices.Max(room(&j)) >= o.tasks
 }
 
 // askOffers asks a partner for room for what waits too long here.
@@ -532,7 +553,7 @@
 			break
 		}
 		// One chunk of a job at a time: its record takes one change at a time.
-		if _, tried := d.tried[chunkName(w.Rec.Job.ID, w.Chunk)]; tried || jobs[w.Rec.Job.ID] {
+		if _, tried := d.tried[chunk{w.Rec.Job.ID, w.Chunk}]; tried || jobs[w.Rec.Job.ID] {
 			continue
 		}
 		if y, ok := goes(w, nb.p, s.Team(w.Rec.Job.Team), there, d.h.Wall()); ok {
@@ -559,7 +580,7 @@
 				}
 				some = true
 				w := list[i]
-				d.tried[chunkName(w.Rec.Job.ID, w.Chunk)] = d.h.Now() + d.report()
+				d.tried[chunk{w.Rec.Job.ID, w.Chunk}] = d.h.Now() + d.report()
 				d.orders[o.ID] = d.h.Now() + d.report()
 				d.h.LendOut(&part.Order{Job: w.Rec.Job.ID, Chunk: w.Chunk, Away: part.Away{To: nb.p.Name, By: d.tenure, Offer: o.ID, Why: why[i],
 					TermMs: nb.p.Term.Milliseconds(), LeaseMs: nb.p.Lease.Milliseconds()}})
@@ -583,10 +604,6 @@
 		reply(400, &wire.Problem{Error: "too many loans"}, 0)
 		return
 	}
-	if !d.h.Leads() {
-		reply(421, &wire.Problem{Error: "not the leader"}, 0)
-		return
-	}
 	if p.Lease > 0 && time.Duration(in.LeaseMs)*time.Millisecond > p.Lease {
 		slog.Error("federation: a partner's lease is longer than our settings say: nothing of ours may run there", "partner", from,
 			"theirs", time.Duration(in.LeaseMs)*time.Millisecond, "ours", p.Lease)
--- a/internal/federation/federation_test.go
+++ b/internal/federation/federation_test.go
@@ -84,13 +84,13 @@
 
 // Ranges of a loan and of its job.
 func TestRanges(t *testing.T) {
-	if got := fmt.Sprint(overlay([][2]int{{0, 3}, {5, 9}, {-1, 2}, {3, 10}}, 40, 10)); got != "[[40 43] [45 49]]" {
+	if got := fmt.Sprint(shift([][2]int{{0, 3}, {5, 9}, {-1, 2}, {3, 10}}, 40, 10)); got != "[[40 43] [45 49]]" {
 		t.Error("a host's ranges outside the loan were taken: ", got)
 	}
 	if got := fmt.Sprint(within([][2]int{{0, 41}, {43, 43}, {49, 60}}, 40, 10)); got != "[[0 1] [3 3] [9 9]]" {
 		t.Error(got)
 	}
-	if got := fmt.Sprint(part.MergeRanges([][2]int{{5, 9}, {0, 3}, {4, 4}, {20, 21}, {30, 30}}, 2)); got != "[[0 9] [20 21]]" {
+	if got := fmt.Sprint(part.MergeRanges(2, [][2]int{{5, 9}, {0, 3}}, [][2]int{{4, 4}, {20, 21}, {30, 30}})); got != "[[0 9] [20 21]]" {
 		t.Error(got)
 	}
 }
--- a/internal/federation/host.go
+++ b/internal/federation/host.go
@@ -34,10 +34,6 @@
 		reply(400, &wire.Problem{Error: "too many wants"}, 0)
 		return
 	}
-	if !d.h.Leads() {
-		reply(421, &wire.Problem{Error: "not the leader"}, 0)
-		return
-	}
 	now := d.h.Now()
 	held, heldHome := map[int]float64{}, 0.0
 	for id, o := range d.offers {
@@ -52,6 +48,7 @@
 	}
 	lent, loans, tasks := d.lent(from)
 	free := lendable(p, d.h.Cores(), lent+heldHome)
+	roomFor := d.h.Room()
 	out := &OffersAnswer{}
 	for _, w := range in.Wants {
 		j := borrowedJob(w.Job.ID, from, &w.Job)
@@ -62,7 +59,7 @@
 			of.Why = "cannot be offered"
 		default:
 			best, room := 0, 0
-			for k, r := range d.h.Room(&j) {
+			for k, r := range roomFor(&j) {
 				if weight > 0 {
 					r -= int(held[k]/weight + 0.999)
 				}
@@ -107,10 +104,6 @@
 		reply(400, &wire.Problem{Error: why}, 0)
 		return
 	}
-	if !d.h.Leads() {
-		reply(421, &wire.Problem{Error: "not the leader"}, 0)
-		return
-	}
 	if d.h.Job(in.ID) != nil {
 		reply(200, d.state(in.ID), 0)
 		return
@@ -132,19 +125,12 @@
 	}
 	l := d.h.Ledger()
 	j := borrowedJob(in.ID, from, &in.Job)
-	rec := &part.JobRecord{Job: j, At: d.h.Wall(), Chunk: j.Tasks, Parts: []int{o.part}, Done: overlay(in.Done, 0, j.Tasks),
+	rec := &part.JobRecord{Job: j, At: d.h.Wall(), Chunk: j.Tasks, Parts: []int{o.part}, Done: shift(in.Done, 0, j.Tasks),
 		Loan: &part.Loan{Home: from, Job: k.Job, First: k.First, No: k.No, TermMs: in.TermMs}}
-	if len(wire.Encode(rec)) > int(d.h.Settings().Deployment.State.ValueKB*1024*3/4) {
+	if len(wire.Encode(rec)) > d.h.Settings().MostRecord() {
 		reply(400, &wire.Problem{Error: "fields too long"}, 0)
 		return
 	}
-	answered := false
-	once := func(status int, body any, retry int) {
-		if !answered {
-			answered = true
-			reply(status, body, retry)
-		}
-	}
 	l.Write(ledger.Soon, &ledger.Write{
 		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
 			if !d.h.Leads() {
@@ -156,7 +142,7 @@
 		},
 		Done: func(ok bool, _ uint64) {
 			if !ok { // known already, or over, or another leader
-				once(503, &wire.Problem{Error: "try again"}, 1)
+				reply(503, &wire.Problem{Error: "try again"}, 1)
 				return
 			}
 			o.taken, o.until = true, d.h.Now()+2*d.report() // its room is held until it has started
@@ -164,10 +150,10 @@
 			slog.Info("federation: borrowed", "job", in.ID, "tasks", j.Tasks, "from", from)
 			d.note(in.ID, "borrowed", "")
 			d.h.News(in.ID)
-			once(200, &State{State: StateQueued}, 0)
+			reply(200, &State{State: StateQueued}, 0)
 		},
 		Refused: func() bool {
-			once(503, &wire.Problem{Error: "state service not reachable"}, 1)
+			reply(503, &wire.Problem{Error: "state service not reachable"}, 1)
 			return true
 		},
 	})
@@ -183,7 +169,7 @@
 	// An answer holds as many loans as there are; ranges are bounded, and the
 	// rest is told when the loan is over.
 	if len(s.Done) > 64 {
-		s.Done = part.MergeRanges(slices.Clone(s.Done), 64)
+		s.Done = part.MergeRanges(64, s.Done)
 	}
 	return s
 }
@@ -194,10 +180,6 @@
 		reply(400, &wire.Problem{Error: "too many loans"}, 0)
 		return
 	}
-	if !d.h.Leads() {
-		reply(421, &wire.Problem{Error: "not the leader"}, 0)
-		return
-	}
 	for _, id := range in.End {
 		d.flag(from, id, true)
 	}
@@ -221,7 +203,7 @@
 			*s = *d.state(id)
 			continue
 		}
-		if f, ok := d.over[id]; ok {
+		if f, ok := d.over.Get(id); ok {
 			*s = overState(f)
 			continue
 		}
@@ -235,7 +217,7 @@
 			var f part.Final
 			switch {
 			case status == 200 && wire.Decode(value, &f) == nil:
-				d.remember(id, f)
+				d.over.Add(id, f)
 				*s = overState(f)
 			case status == 404:
 				// Our cache may be older than its acceptance by the leader
@@ -269,20 +251,6 @@
 	return s
 }
 
-func (d *Desk) remember(id string, f part.Final) {
-	if _, ok := d.over[id]; ok {
-		return
-	}
-	d.over[id] = f
-	if len(d.ring) < remembered {
-		d.ring = append(d.ring, id)
-		return
-	}
-	delete(d.over, d.ring[d.ringAt])
-	d.ring[d.ringAt] = id
-	d.ringAt = (d.ringAt + 1) % remembered
-}
-
 // flag notes in a borrowed job's record that it is to be given back: its
 // part's owner sees it there.
 func (d *Desk) flag(from, id string, end bool) {
@@ -291,29 +259,21 @@
 		return
 	}
 	d.flags[id] = true
-	l := d.h.Ledger()
-	l.Write(ledger.Soon, &ledger.Write{
-		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
-			rec := d.h.Job(id)
-			if !d.h.Leads() || rec == nil {
-				return nil, nil
-			}
-			r, lo := *rec, *rec.Loan
-			r.W, r.Loan = nonce, &lo
-			lo.Ending, lo.Recall = lo.Ending || end, true
-			return []wire.Cond{d.h.LeadGuard(), l.Stamp(part.JobKey(id))}, []wire.Op{{Put: part.JobKey(id), Value: wire.Encode(&r)}}
-		},
-		Done: func(ok bool, _ uint64) {
-			delete(d.flags, id)
-			if ok {
-				what := "recalled"
-				if end {
-					what = "ended by home"
-				}
-				d.note(id, what, "")
-				d.h.News(id)
+	d.rewrite(ledger.Soon, id, func(r *part.JobRecord) bool {
+		l := *r.Loan
+		l.Ending, l.Recall = l.Ending || end, true
+		r.Loan = &l
+		return true
+	}, func(ok bool) {
+		delete(d.flags, id)
+		if ok {
+			what := "recalled"
+			if end {
+				what = "ended by home"
 			}
-		},
+			d.note(id, what, "")
+			d.h.News(id)
+		}
 	})
 }
 
@@ -324,25 +284,27 @@
 	if nb.renewing {
 		return
 	}
-	permits := map[string]*loan.Permit{}
-	parts := map[string]*part.Part{}
-	terms := map[string]time.Duration{}
+	type held struct {
+		part   *part.Part
+		permit *loan.Permit
+		term   time.Duration
+	}
+	loans := map[string]held{}
 	shortest, fresh := time.Hour, false
 	d.h.Loans(func(p *part.Part, rec *part.JobRecord, permit *loan.Permit) {
-		if rec.Loan.Home != nb.p.Name || len(permits) >= mostLoans {
+		if rec.Loan.Home != nb.p.Name || len(loans) >= mostLoans {
 			return
 		}
-		id := rec.Job.ID
-		permits[id], parts[id] = permit, p
-		terms[id] = time.Duration(rec.Loan.TermMs) * time.Millisecond
-		shortest = min(shortest, terms[id])
+		x := held{p, permit, time.Duration(rec.Loan.TermMs) * time.Millisecond}
+		loans[rec.Job.ID] = x
+		shortest = min(shortest, x.term)
 		fresh = fresh || !permit.Good(now)
 	})
-	if len(permits) == 0 || now < nb.renewAt && !(fresh && now > nb.renewAt-shortest/5+time.Second/2) {
+	if len(loans) == 0 || now < nb.renewAt && !(fresh && now > nb.renewAt-shortest/5+time.Second/2) {
 		return
 	}
 	nb.renewing = true
-	in := &RenewalsAsk{LeaseMs: int64(d.h.Settings().Deployment.Workers.Lease * 1000), Loans: slices.Sorted(maps.Keys(permits))}
+	in := &RenewalsAsk{LeaseMs: int64(d.h.Settings().Deployment.Workers.Lease * 1000), Loans: slices.Sorted(maps.Keys(loans))}
 	got := &RenewalsAnswer{}
 	d.ask(nb, PathRenewals, in, got, func(status int) {
 		nb.renewing = false
@@ -353,19 +315,19 @@
 		}
 		nb.renewAt = now + d.jitter(shortest/5)
 		for _, id := range got.Hold {
-			if p := permits[id]; p != nil {
-				if !p.Good(d.h.Now()) {
+			if x, ok := loans[id]; ok {
+				if !x.permit.Good(d.h.Now()) {
 					d.note(id, "permitted", "")
 				}
-				p.Renew(now, terms[id])
-				parts[id].Permitted(id)
+				x.permit.Renew(now, x.term)
+				x.part.Permitted(id)
 				d.Count.Renewed++
 			}
 		}
 		for _, id := range got.End {
-			if p := permits[id]; p != nil {
-				p.End()
-				parts[id].EndLoan(id)
+			if x, ok := loans[id]; ok {
+				x.permit.End()
+				x.part.EndLoan(id)
 			}
 		}
 	})
--- a/internal/federation/log.go
+++ b/internal/federation/log.go
@@ -74,10 +74,8 @@
 	for _, a := range rec.Away {
 		from, to := rec.Span(a.Chunk)
 		x := Abroad{Job: rec.Job.ID, First: from, Tasks: to - from, To: a.To, No: a.No, Why: a.Why}
-		for k, o := range d.out {
-			if k.Job == rec.Job.ID && k.No == a.No {
-				x.State = o.state
-			}
+		if o := d.out[loanKey(rec.Job.ID, &a)]; o != nil {
+			x.State = o.state
 		}
 		out = append(out, x)
 	}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -39,10 +39,7 @@
 type Intake struct {
 	h      Host
 	w      world.World
-	finals map[string]part.Final // bounded memory of ended jobs
-	most   int                   // of them
-	ring   []string
-	ringAt int
+	finals *part.Finals
 
 	asked  []*lookup
 	asking bool
@@ -63,23 +60,11 @@
 
 // New makes an empty intake.
 func New(h Host, w world.World) *Intake {
-	return &Intake{h: h, w: w, finals: map[string]part.Final{}, most: max(1, int(remembered*h.Settings().Deployment.Limits.RAM))}
+	return &Intake{h: h, w: w, finals: part.NewFinals(int(remembered * h.Settings().Deployment.Limits.RAM))}
 }
 
 // Over remembers a job's end, which the ledger has.
-func (in *Intake) Over(id string, f part.Final) {
-	if _, ok := in.finals[id]; ok {
-		return
-	}
-	in.finals[id] = f
-	if len(in.ring) < in.most {
-		in.ring = append(in.ring, id)
-		return
-	}
-	delete(in.finals, in.ring[in.ringAt])
-	in.ring[in.ringAt] = id
-	in.ringAt = (in.ringAt + 1) % in.most
-}
+func (in *Intake) Over(id string, f part.Final) { in.finals.Add(id, f) }
 
 // patience is about how long users wait for an answer, in seconds.
 const patience = 5
@@ -145,7 +130,7 @@
 		reply(400, &wire.Problem{Error: "this id is reserved for borrowed jobs"}, 0)
 		return
 	}
-	if f, ok := in.finals[job.ID]; ok {
+	if f, ok := in.finals.Get(job.ID); ok {
 		reply(200, finalState(job.ID, f), 0)
 		return
 	}
@@ -214,8 +199,7 @@
 	id := rec.Job.ID
 	l := in.h.Ledger()
 	answered := false
-	limit := int(in.h.Settings().Deployment.State.ValueKB * 1024)
-	if len(wire.Encode(rec)) > limit*3/4 {
+	if len(wire.Encode(rec)) > in.h.Settings().MostRecord() {
 		in.unless(id, reply, func() { reply(400, &wire.Problem{Error: "fields too long"}, 0) })
 		return
 	}
@@ -336,7 +320,7 @@
 
 // find settles what is known of a job; anything but an end needs proof.
 func (in *Intake) find(id string, k *lookup) {
-	if f, ok := in.finals[id]; ok {
+	if f, ok := in.finals.Get(id); ok {
 		k.final(f)
 		return
 	}
@@ -349,7 +333,7 @@
 		return
 	}
 	in.h.Ledger().Prove(func(ok bool) {
-		switch f, over := in.finals[id]; {
+		switch f, over := in.finals.Get(id); {
 		case over:
 			k.final(f)
 		case !ok:
@@ -442,5 +426,5 @@
 }
 
 func (in *Intake) String() string {
-	return fmt.Sprintf("%d ended jobs in memory, %d look-ups wait", len(in.finals), len(in.asked))
+	return fmt.Sprintf("%d ended jobs in memory, %d look-ups wait", in.finals.Len(), len(in.asked))
 }
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -24,13 +24,13 @@
 	for i := 0; i < 100_000; i++ {
 		in.Over(fmt.Sprintf("wk-%d", i), part.Final{Status: "done"})
 	}
-	if n := len(in.finals); n != remembered*98 || len(in.ring) != n {
+	if n := in.finals.Len(); n != remembered*98 {
 		t.Errorf("%d ended jobs are kept in memory, want %d", n, remembered*98)
 	}
-	if _, ok := in.finals["wk-99999"]; !ok {
+	if _, ok := in.finals.Get("wk-99999"); !ok {
 		t.Error("the newest is not among them")
 	}
-	if _, ok := in.finals["wk-0"]; ok {
+	if _, ok := in.finals.Get("wk-0"); ok {
 		t.Error("the oldest is still among them")
 	}
 }
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -12,14 +12,29 @@
 	"time"
 )
 
+// certs makes an authority, ca, with certificates for clusters, each in a folder
+// of its own; it gives the way to a file.
+func certs(t *testing.T, clusters ...string) func(string) string {
+	t.Helper()
+	dir := t.TempDir()
+	at := func(s string) string { return filepath.Join(dir, s) }
+	err := MakeCA(at("ca"), "ours", time.Hour)
+	for _, c := range clusters {
+		if err == nil {
+			err = MakeCert(at(c), at("ca"), c, time.Hour)
+		}
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return at
+}
+
 // A listener of west that serves east; each caller says who it is, and what
 // came of it is compared with the list.
 func TestCallers(t *testing.T) {
-	dir := t.TempDir()
-	at := func(s string) string { return filepath.Join(dir, s) }
-	for _, err := range []error{MakeCA(at("ca"), "ours", time.Hour), MakeCA(at("other"), "other", time.Hour),
-		MakeCert(at("west"), at("ca"), "west", time.Hour), MakeCert(at("east"), at("ca"), "east", time.Hour),
-		MakeCert(at("north"), at("ca"), "north", time.Hour), MakeCert(at("fake"), at("other"), "east", time.Hour),
+	at := certs(t, "west", "east", "north")
+	for _, err := range []error{MakeCA(at("other"), "other", time.Hour), MakeCert(at("fake"), at("other"), "east", time.Hour),
 		MakeCert(at("old"), at("ca"), "east", -time.Second)} {
 		if err != nil {
 			t.Fatal(err)
@@ -89,13 +104,7 @@
 // Files that change are taken at the next look; a certificate that is off the
 // pins is not served any more, on open connections too.
 func TestRenewedAndRevoked(t *testing.T) {
-	dir := t.TempDir()
-	at := func(s string) string { return filepath.Join(dir, s) }
-	for _, err := range []error{MakeCA(at("ca"), "ours", time.Hour), MakeCert(at("west"), at("ca"), "west", time.Hour), MakeCert(at("east"), at("ca"), "east", time.Hour)} {
-		if err != nil {
-			t.Fatal(err)
-		}
-	}
+	at := certs(t, "west", "east")
 	east, err := Read(at("east/" + CertFile))
 	if err != nil {
 		t.Fatal(err)
@@ -146,13 +155,7 @@
 // Callers that say nothing hold places for a moment only: one that proves who it
 // is gets in soon.
 func TestSilentCallers(t *testing.T) {
-	dir := t.TempDir()
-	at := func(s string) string { return filepath.Join(dir, s) }
-	for _, err := range []error{MakeCA(at("ca"), "ours", time.Hour), MakeCert(at("west"), at("ca"), "west", time.Hour), MakeCert(at("east"), at("ca"), "east", time.Hour)} {
-		if err != nil {
-			t.Fatal(err)
-		}
-	}
+	at := certs(t, "west", "east")
 	open := func(own, peer string) *Ring {
 		r, err := Open(at(own+"/"+CertFile), at(own+"/"+KeyFile), []Peer{{Name: peer, CA: at("ca/" + CAFile)}})
 		if err != nil {
--- a/internal/keys/listener.go
+++ b/internal/keys/listener.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // Listener hands out connections whose callers have proven who they are. A
@@ -32,16 +34,10 @@
 }
 
 func (k *Listener) accept(c *tls.Config) {
-	told := time.Time{}
-	var mu sync.Mutex
+	told := rate.Sometimes{Interval: time.Second} // many would fill the log
 	refuse := func(conn net.Conn, why string) {
 		_ = conn.Close()
-		mu.Lock()
-		defer mu.Unlock()
-		if time.Since(told) > time.Second { // many would fill the log
-			told = time.Now()
-			slog.Info("federation: caller refused", "addr", conn.RemoteAddr(), "why", why)
-		}
+		told.Do(func() { slog.Info("federation: caller refused", "addr", conn.RemoteAddr(), "why", why) })
 	}
 	for {
 		conn, err := k.Listener.Accept()
--- a/internal/node/federation.go
+++ b/internal/node/federation.go
@@ -35,13 +35,17 @@
 		reply(503, &wire.Problem{Error: "not ready"}, 1)
 		return
 	}
-	bad := func() { reply(400, &wire.Problem{Error: "not understood"}, 0) }
+	// All that partners ask is for the leader.
 	read := func(in any) bool {
-		if len(body) > wire.MaxBody || !wire.IsMap(body) || wire.Decode(body, in) != nil {
-			bad()
-			return false
+		switch {
+		case len(body) > wire.MaxBody || !wire.IsMap(body) || wire.Decode(body, in) != nil:
+			reply(400, &wire.Problem{Error: "not understood"}, 0)
+		case !n.leads():
+			reply(421, &wire.Problem{Error: "not the leader"}, 0)
+		default:
+			return true
 		}
-		return true
+		return false
 	}
 	switch path {
 	case federation.PathOffers:
@@ -75,15 +79,15 @@
 	if rec == nil {
 		return nil, 0
 	}
-	done = append(done, rec.Done...)
+	lists := [][][2]int{rec.Done}
 	for _, p := range n.progress[id] {
 		running += p.Running
-		done = append(done, p.Done...)
+		lists = append(lists, p.Done)
 	}
 	if n.desk != nil {
 		running += n.desk.Running(id)
 	}
-	return part.MergeRanges(done, 0), running
+	return part.MergeRanges(0, lists...), running
 }
 
 // Cores of all machines.
@@ -134,20 +138,24 @@
 	return out
 }
 
-// Room counts for each part the tasks that would start there, in free room that
-// nothing of this cluster waits for. What is borrowed is in one part, and
-// gathers no machines of others.
-func (n *Node) Room(j *wire.Job) []int {
+// Room gives a count, for each part, of the tasks that would start there, in free
+// room that nothing of this cluster waits for. What is borrowed is in one part,
+// and gathers no machines of others.
+func (n *Node) Room() func(j *wire.Job) []int {
 	wanted := map[string]bool{} // types that own work waits for
 	for _, s := range n.statuses() {
 		for _, g := range s.Gaps {
 			if rec := n.jobs[g.Job]; rec != nil {
 				for name, t := range n.types {
-					wanted[name] = wanted[name] || rec.Job.Cores <= t.Cores && rec.Job.GPUs <= t.GPUs && rec.Job.Memory <= t.Memory
+					wanted[name] = wanted[name] || t.Fits(&rec.Job, 1) > 0
 				}
 			}
 		}
 	}
+	return func(j *wire.Job) []int { return n.roomBeside(j, wanted) }
+}
+
+func (n *Node) roomBeside(j *wire.Job, wanted map[string]bool) []int {
 	room := make([]int, len(n.names))
 	for _, s := range n.statuses() {
 		for _, p := range s.Parts {
@@ -201,11 +209,11 @@
 
 // LendOut hands the wish that a chunk be lent to the chunk's owner.
 func (n *Node) LendOut(o *part.Order) {
-	rec := n.jobs[o.Job]
-	if rec == nil || o.Chunk < 0 || o.Chunk >= len(rec.Parts) || rec.Parts[o.Chunk] < 0 {
+	k := n.partOf(o)
+	if k < 0 {
 		return
 	}
-	switch owner := n.book.Owner(lead.PartKey(rec.Parts[o.Chunk])); owner {
+	switch owner := n.book.Owner(lead.PartKey(k)); owner {
 	case "":
 	case n.s.Name:
 		n.orderHere(o)
@@ -216,16 +224,20 @@
 	}
 }
 
+// partOf is where the chunk is; negative: nowhere here.
+func (n *Node) partOf(o *part.Order) int {
+	if rec := n.jobs[o.Job]; rec != nil && o.Chunk >= 0 && o.Chunk < len(rec.Parts) {
+		return rec.Parts[o.Chunk]
+	}
+	return part.Lent
+}
+
 func orderOf(m *mesh.LendOut) *part.Order {
 	return &part.Order{Job: m.Job, Chunk: int(m.Chunk), Away: part.Away{To: m.To, By: m.By, Offer: m.Offer, Why: m.Why, TermMs: m.TermMs, LeaseMs: m.LeaseMs}}
 }
 
 func (n *Node) orderHere(o *part.Order) {
-	rec := n.jobs[o.Job]
-	if rec == nil || o.Chunk < 0 || o.Chunk >= len(rec.Parts) {
-		return
-	}
-	if p := n.owns(rec.Parts[o.Chunk]); p != nil {
+	if p := n.owns(n.partOf(o)); p != nil {
 		p.LendOut(o)
 	} else {
 		slog.Debug("node: a chunk to be lent is not ours", "job", o.Job, "chunk", o.Chunk)
--- a/internal/node/line.go
+++ b/internal/node/line.go
@@ -1,11 +1,10 @@
 package node
 
 import (
-	"crypto/tls"
+	"bytes"
 	"log/slog"
 	"net"
-	"strconv"
-	"sync"
+	"strings"
 	"time"
 
 	"github.com/gofiber/fiber/v2"
@@ -26,6 +25,7 @@
 	clients map[string]*fasthttp.Client
 	calls   map[string]chan struct{}
 	limits  map[string]*rate.Limiter
+	refused rate.Sometimes // spaces lines about refused requests in the log
 }
 
 // Bounds for each partner.
@@ -48,7 +48,8 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &partners{l: l, ring: ring, clients: map[string]*fasthttp.Client{}, calls: map[string]chan struct{}{}, limits: map[string]*rate.Limiter{}}
+	p := &partners{l: l, ring: ring, clients: map[string]*fasthttp.Client{}, calls: map[string]chan struct{}{}, limits: map[string]*rate.Limiter{},
+		refused: rate.Sometimes{Interval: time.Second}}
 	// Some requests need the state service's word: a partner may use up an
 	// eighth of what that allows, from all its controllers to this one.
 	perSecond := max(4, int(s.Deployment.State.RPS/8))
@@ -84,34 +85,20 @@
 	return p, nil
 }
 
-// lastRefused spaces lines about refused requests in the log.
-var lastRefused struct {
-	sync.Mutex
-	at time.Time
-}
-
 func (p *partners) serve(c *fiber.Ctx) error {
-	from, err := p.ring.Who(tlsState(c))
+	from, err := p.ring.Who(c.Context().TLSConnectionState())
 	if err != nil {
-		lastRefused.Lock()
-		if time.Since(lastRefused.at) > time.Second {
-			lastRefused.at = time.Now()
-			slog.Info("federation: request refused", "addr", c.Context().RemoteAddr(), "why", err)
-		}
-		lastRefused.Unlock()
+		p.refused.Do(func() { slog.Info("federation: request refused", "addr", c.Context().RemoteAddr(), "why", err) })
 		c.Context().SetConnectionClose()
 		return send(c, answer{403, &wire.Problem{Error: "not a partner: " + err.Error()}, 0})
 	}
 	if !p.limits[from].Allow() {
 		return send(c, answer{429, &wire.Problem{Error: "too many requests"}, 1})
 	}
-	path, body := c.Path(), append([]byte(nil), c.Body()...)
-	path = string(append([]byte(nil), path...))
+	path, body := strings.Clone(c.Path()), bytes.Clone(c.Body())
 	return p.l.do(c, func(r func(answer)) { p.l.node.PartnerAsks(from, path, body, replier(r)) })
 }
 
-func tlsState(c *fiber.Ctx) *tls.ConnectionState { return c.Context().TLSConnectionState() }
-
 // Ask makes one request to a partner's controller.
 func (p *partners) Ask(partner, addr, path string, in, out any, timeout time.Duration, done func(int)) {
 	client := p.clients[partner]
@@ -125,24 +112,17 @@
 		p.l.After(timeout/2, func() { done(429) })
 		return
 	}
-	body := wire.Encode(in)
 	go func() {
-		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-		req.SetRequestURI("https://" + addr + path)
-		req.Header.SetMethod("POST")
-		req.Header.SetContentType("application/cbor")
-		req.SetBodyRaw(body)
-		status := 0
-		if err := client.DoTimeout(req, resp, timeout); err != nil {
-			slog.Debug("federation: call failed", "partner", partner, "addr", addr, "path", path, "err", err)
-		} else if status = resp.StatusCode(); status == 200 && wire.Decode(resp.Body(), out) != nil {
-			slog.Error("federation: answer not understood", "partner", partner, "path", path)
-			status = 0
-		} else if status == 403 || status == 409 {
-			slog.Info("federation: refused by a partner", "partner", partner, "path", path, "status", strconv.Itoa(status), "why", problem(resp.Body()))
-		}
-		fasthttp.ReleaseRequest(req)
-		fasthttp.ReleaseResponse(resp)
+		status := exchange(client, "POST", "https://"+addr+path, in, timeout, func(status int, body []byte) int {
+			switch {
+			case status == 200 && wire.Decode(body, out) != nil:
+				slog.Error("federation: answer not understood", "partner", partner, "path", path)
+				return 0
+			case status == 403 || status == 409:
+				slog.Info("federation: refused by a partner", "partner", partner, "path", path, "status", status, "why", problem(body))
+			}
+			return status
+		})
 		<-p.calls[partner]
 		p.l.queue <- func() { done(status) }
 	}()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -118,34 +118,42 @@
 		return
 	}
 	go func() {
-		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-		req.SetRequestURI("http://" + addr + path)
-		req.Header.SetMethod(method)
-		if in != nil {
-			req.Header.SetContentType("application/cbor")
-			req.SetBodyRaw(wire.Encode(in))
-		}
-		status := 0
-		if err := l.client.DoTimeout(req, resp, timeout); err != nil {
-			slog.Debug("call failed", "addr", addr, "path", path, "err", err)
-		} else {
-			status = resp.StatusCode()
-			if body := resp.Body(); out != nil && len(body) > 0 {
+		status := exchange(l.client, method, "http://"+addr+path, in, timeout, func(status int, body []byte) int {
+			if out != nil && len(body) > 0 {
 				if err := wire.Decode(body, out); err != nil {
 					slog.Error("call: answer not understood", "addr", addr, "path", path, "status", status, "err", err)
 					if status == 200 {
-						status = 0
+						return 0
 					}
 				}
 			}
-		}
-		fasthttp.ReleaseRequest(req)
-		fasthttp.ReleaseResponse(resp)
+			return status
+		})
 		<-l.calls
 		l.queue <- func() { done(status) }
 	}()
 }
 
+// exchange makes one request with a CBOR body (in may be nil) and gives its
+// status, or what read makes of it and of the answer's body, which is read's
+// only while it runs; 0: there was no answer.
+func exchange(client *fasthttp.Client, method, url string, in any, timeout time.Duration, read func(status int, body []byte) int) int {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(url)
+	req.Header.SetMethod(method)
+	if in != nil {
+		req.Header.SetContentType("application/cbor")
+		req.SetBodyRaw(wire.Encode(in))
+	}
+	if err := client.DoTimeout(req, resp, timeout); err != nil {
+		slog.Debug("call failed", "url", url, "err", err)
+		return 0
+	}
+	return read(resp.StatusCode(), resp.Body())
+}
+
 type answer struct {
 	status int
 	body   any
--- a/internal/part/job.go
+++ b/internal/part/job.go
@@ -251,6 +251,20 @@
 	w.state[i] = to
 }
 
+// chunk counts the idle tasks of a chunk, unless one of it is placed.
+func (w *Work) chunk(c int) (waiting int, on bool) {
+	from, to := w.Rec.Span(c)
+	for i := from; i < to; i++ {
+		switch w.state[i] {
+		case placed:
+			return 0, true
+		case idle:
+			waiting++
+		}
+	}
+	return waiting, false
+}
+
 // nextIdle lists up to n idle tasks of the part.
 func (w *Work) nextIdle(part, n int) []int {
 	var out []int
@@ -310,6 +324,35 @@
 	return out
 }
 
-func sortRanges(r [][2]int, less func(a, b [2]int) bool) {
-	sort.SliceStable(r, func(i, j int) bool { return less(r[i], r[j]) })
+// Finals are ends of jobs kept in memory: the newest, so many at most. The
+// ledger has them all.
+type Finals struct {
+	most int
+	byID map[string]Final
+	ring []string
+	at   int
+}
+
+// NewFinals makes an empty memory of so many ends.
+func NewFinals(most int) *Finals { return &Finals{most: max(1, most), byID: map[string]Final{}} }
+
+// Get gives a job's end, if it is remembered.
+func (f *Finals) Get(id string) (Final, bool) { x, ok := f.byID[id]; return x, ok }
+
+// Len is how many are remembered.
+func (f *Finals) Len() int { return len(f.byID) }
+
+// Add remembers a job's end, which the ledger has.
+func (f *Finals) Add(id string, x Final) {
+	if _, ok := f.byID[id]; ok {
+		return
+	}
+	f.byID[id] = x
+	if len(f.ring) < f.most {
+		f.ring = append(f.ring, id)
+		return
+	}
+	delete(f.byID, f.ring[f.at])
+	f.ring[f.at] = id
+	f.at = (f.at + 1) % f.most
 }
--- a/internal/part/loan.go
+++ b/internal/part/loan.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"curlewspool/internal/ledger"
@@ -35,7 +36,8 @@
 func (p *Part) LendOut(o *Order) {
 	now := p.h.Now()
 	w := p.Works[o.Job]
-	if w == nil || w.borrowed() || w.moving || o.Chunk < 0 || o.Chunk >= len(w.Rec.Parts) || !p.h.MayLaunch() || !p.queues(w, now) || !p.untouched(w, o.Chunk) {
+	if w == nil || w.borrowed() || w.moving || o.Chunk < 0 || o.Chunk >= len(w.Rec.Parts) || !p.h.MayLaunch() || !p.untouched(w, o.Chunk) ||
+		!slices.Contains(p.queue(now), w) { // in the queue: nothing of it may be on a silent machine
 		return
 	}
 	id, l := o.Job, p.h.Ledger()
@@ -56,9 +58,9 @@
 			from, to := rec.Span(o.Chunk)
 			a.First = from
 			rec.Away = append(append([]Away(nil), rec.Away...), a)
-			rec.Done = MergeRanges(append(append([][2]int(nil), rec.Done...), w.doneIn(from, to)...), 0)
+			rec.Done = MergeRanges(0, rec.Done, w.doneIn(from, to))
 			b := wire.Encode(&rec)
-			if len(b) > int(p.h.Settings().Deployment.State.ValueKB*1024*3/4) {
+			if len(b) > p.h.Settings().MostRecord() {
 				return nil, nil
 			}
 			return []wire.Cond{p.guard(), {Key: JobKey(id), Stamp: w.Stamp}}, []wire.Op{{Put: JobKey(id), Value: b}}
@@ -82,33 +84,14 @@
 	}
 }
 
-// queues: the job is in the queue, so nothing of it may be on a silent machine.
-func (p *Part) queues(w *Work, now time.Duration) bool {
-	for _, o := range p.queue(now) {
-		if o == w {
-			return true
-		}
-	}
-	return false
-}
-
 // untouched: the chunk is here, with something to do, and none of it is, or is
 // about to be, on a machine.
 func (p *Part) untouched(w *Work, c int) bool {
 	if w.Rec.Parts[c] != p.K || w.gang() && (w.nplaced > 0 || w.broken || w.halting) {
 		return false
 	}
-	from, to := w.Rec.Span(c)
-	n := 0
-	for i := from; i < to; i++ {
-		switch w.state[i] {
-		case placed:
-			return false
-		case idle:
-			n++
-		}
-	}
-	return n > 0
+	n, on := w.chunk(c)
+	return !on && n > 0
 }
 
 // doneIn lists the done tasks from one up to another, the latter not included.
@@ -123,11 +106,11 @@
 
 // MergeRanges sorts ranges (ends included) and joins those that meet; the
 // longest most of them if most is not 0: a task that is left out is only run
-// again.
-func MergeRanges(r [][2]int, most int) [][2]int {
-	sortRanges(r, func(a, b [2]int) bool { return a[0] < b[0] })
-	var out [][2]int
-	for _, x := range r {
+// again. The lists stay as they are.
+func MergeRanges(most int, lists ...[][2]int) (out [][2]int) {
+	all := slices.Concat(lists...)
+	slices.SortStableFunc(all, func(a, b [2]int) int { return a[0] - b[0] })
+	for _, x := range all {
 		if x[1] < x[0] {
 			continue
 		}
@@ -138,7 +121,7 @@
 		}
 	}
 	if most > 0 && len(out) > most {
-		sortRanges(out, func(a, b [2]int) bool { return a[1]-a[0] > b[1]-b[0] })
+		slices.SortStableFunc(out, func(a, b [2]int) int { return b[1] - b[0] - (a[1] - a[0]) })
 		out = out[:most]
 	}
 	return out
@@ -194,15 +177,10 @@
 	if w.mine == 0 {
 		return
 	}
-	switch {
-	case l.Ending || w.over, l.Recall && p.cleared(w):
+	// No room for it, or not a word from home, for long: it may go elsewhere.
+	late := now-w.placedAt > term && left > 0 || now-w.placedAt > 10*term
+	if l.Ending || w.over || l.Recall || late {
 		p.giveBack(w)
-	case now-w.placedAt > term && left > 0 || now-w.placedAt > 10*term:
-		// No room for it, or not a word from home, for long: it may go
-		// elsewhere.
-		if p.cleared(w) {
-			p.giveBack(w)
-		}
 	}
 }
 
@@ -239,10 +217,8 @@
 	if w.nplaced > 0 || len(w.runs) > 0 || w.writing || w.moving {
 		return false
 	}
-	for run, m := range w.strays {
-		if p.Machines[m.ID] == m && m.Runs[run.RunKey] == run && !run.Over() {
-			return false
-		}
+	if p.strayed(w) {
+		return false
 	}
 	for _, m := range p.machines() {
 		if !m.Resolved && w.stored.has(m.ID) {
@@ -257,8 +233,8 @@
 	return true
 }
 
-// giveBack writes the durable word that nothing of the loan is left here, with
-// the tasks that are done. Only the owner of its part knows.
+// giveBack writes the durable word that nothing of the loan is left here, if
+// that is so, with the tasks that are done. Only the owner of its part knows.
 func (p *Part) giveBack(w *Work) {
 	if w.ending || w.left == 0 || !p.cleared(w) {
 		return
@@ -270,8 +246,7 @@
 			if p.Works[id] != w || w.mine == 0 || !p.cleared(w) {
 				return nil, nil
 			}
-			limit := int(p.h.Settings().Deployment.State.ValueKB * 1024 * 0.35)
-			f := &Final{W: nonce, Status: wire.Withdrawn, Tasks: w.Rec.Job.Tasks, At: p.h.Wall(), Done: w.ranges(p.K, limit)}
+			f := &Final{W: nonce, Status: wire.Withdrawn, Tasks: w.Rec.Job.Tasks, At: p.h.Wall(), Done: w.ranges(p.K, p.listLimit())}
 			return []wire.Cond{p.guard(), {Key: JobKey(id), Stamp: w.Stamp}, {Key: FinalKey(id)}},
 				[]wire.Op{{Put: FinalKey(id), Value: wire.Encode(f)}, {Delete: JobKey(id)}}
 		},
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -623,7 +623,7 @@
 			}
 			built, w.writing, w.dirty, w.writtenAt = true, true, false, p.h.Now()
 			ended = append(ended[:0], w.ended...)
-			limit := int(p.h.Settings().Deployment.State.ValueKB * 1024 * 0.35)
+			limit := p.listLimit()
 			pr := &Progress{W: nonce, Done: w.ranges(p.K, limit), Running: w.nplaced}
 			next = p.reachOf(w, limit)
 			pr.All = next.all
@@ -657,6 +657,10 @@
 	})
 }
 
+// listLimit is what a list of done tasks, or of machines, may take of a value,
+// in bytes.
+func (p *Part) listLimit() int { return int(p.h.Settings().Deployment.State.ValueKB * 1024 * 0.35) }
+
 // reachOf lists the machines that a job is, may be or may soon be on: while
 // some of it is queued all that could take it, so that not every start needs a
 // write of its own.
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -146,6 +146,17 @@
 	return w.Rec.Job.Estimate * float64(max(w.idle, 1))
 }
 
+// strayed: a run of the job that is not to be there has not gone yet.
+func (p *Part) strayed(w *Work) bool {
+	for run, m := range w.strays {
+		if p.Machines[m.ID] == m && m.Runs[run.RunKey] == run && !run.Over() {
+			return true
+		}
+		delete(w.strays, run)
+	}
+	return false
+}
+
 func (p *Part) queue(now time.Duration) []*Work {
 	var silent []*Machine
 	for _, m := range p.machines() {
@@ -159,14 +170,7 @@
 				return true
 			}
 		}
-		for run, m := range w.strays {
-			if p.Machines[m.ID] != m || m.Runs[run.RunKey] != run || run.Over() {
-				delete(w.strays, run)
-				continue
-			}
-			return true
-		}
-		return false
+		return p.strayed(w)
 	}
 	var q []*Work
 	shortest := math.Inf(1)
@@ -914,18 +918,8 @@
 			if k != p.K {
 				continue
 			}
-			from, to := w.Rec.Span(c)
-			n, still := 0, true
-			for i := from; i < to; i++ {
-				if w.state[i] == placed {
-					still = false
-					break
-				}
-				if w.state[i] == idle {
-					n++
-				}
-			}
-			if !still || n == 0 {
+			n, on := w.chunk(c)
+			if on || n == 0 {
 				continue
 			}
 			for _, o := range others {
@@ -981,11 +975,8 @@
 			if p.Works[id] != w || c >= len(w.Rec.Parts) || w.Rec.Parts[c] != p.K {
 				return nil, nil
 			}
-			from, end := w.Rec.Span(c)
-			for i := from; i < end; i++ {
-				if w.state[i] == placed {
-					return nil, nil
-				}
+			if _, on := w.chunk(c); on {
+				return nil, nil
 			}
 			rec := *w.Rec
 			rec.W = nonce
--- a/internal/settings/federation.go
+++ b/internal/settings/federation.go
@@ -70,11 +70,7 @@
 }
 
 // federation reads [federation] and [partner NAME]; files are beside dir.
-func (s *Settings) federation(text []byte, dir string) error {
-	file, err := ini.Load(text)
-	if err != nil {
-		return err
-	}
+func (s *Settings) federation(file *ini.File, dir string) error {
 	var names []string
 	for _, sec := range file.Sections() {
 		if strings.HasPrefix(sec.Name(), partnerSection) {
@@ -89,7 +85,7 @@
 	}
 	sort.Strings(names)
 	r := &reader{sec: file.Section("federation"), dir: dir}
-	f := &Federation{Cluster: r.name("cluster"), Listen: r.text("listen", ""), CA: r.file("ca", true), Cert: r.file("cert", true), Key: r.file("key", true)}
+	f := &Federation{Cluster: r.text("cluster", ""), Listen: r.text("listen", ""), CA: r.file("ca", true), Cert: r.file("cert", true), Key: r.file("key", true)}
 	if err := r.done(); err != nil {
 		return err
 	}
@@ -183,8 +179,6 @@
 	}
 }
 
-func (r *reader) name(key string) string { return r.text(key, "") }
-
 func (r *reader) file(key string, must bool) string {
 	v := r.text(key, "")
 	if v == "" {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -177,20 +177,20 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := s.Operators.read(text); err != nil {
+	file, err := ini.Load(text)
+	if err != nil {
 		return nil, fmt.Errorf("%s: %w", iniPath, err)
 	}
-	if err := s.federation(text, filepath.Dir(iniPath)); err != nil {
+	if err := s.Operators.read(file); err != nil {
+		return nil, fmt.Errorf("%s: %w", iniPath, err)
+	}
+	if err := s.federation(file, filepath.Dir(iniPath)); err != nil {
 		return nil, fmt.Errorf("%s: %w", iniPath, err)
 	}
 	return s, nil
 }
 
-func (o *Operators) read(text []byte) error {
-	file, err := ini.Load(text)
-	if err != nil {
-		return err
-	}
+func (o *Operators) read(file *ini.File) error {
 	// The defaults, written out, are the list of what may be set.
 	known := ini.Empty()
 	def := Defaults()
@@ -299,6 +299,10 @@
 	return nil
 }
 
+// MostRecord is the largest job's record that is stored, in bytes: the rest of a
+// value is for what comes to it later.
+func (p *Platform) MostRecord() int { return int(p.Deployment.State.ValueKB*1024) * 3 / 4 }
+
 // Names lists all controllers in order of name; its length is the number of
 // parts.
 func (p *Platform) Names() []string {
