--- a/cmd/curlew/dev.go
+++ b/cmd/curlew/dev.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -23,8 +24,6 @@
 	"curlewspool/internal/wire"
 )
 
-func sorted(s []string) []string { slices.Sort(s); return s }
-
 func devCommand() *cobra.Command {
 	p := dev.Plan{}
 	var kills []string
@@ -262,7 +261,7 @@
 				fmt.Fprintf(w, "%d tasks of %d jobs, %d starts: %d finished once, %d started again with their result kept, %d still there, %d lost and not run again\n",
 					r.Tasks, len(r.Jobs), r.Starts, r.Finished, r.Kept, r.Left, r.Lost)
 				for _, c := range slices.Sorted(maps.Keys(r.By)) {
-					fmt.Fprintf(w, "finished in %s: %d\n", cmpName(c), r.By[c])
+					fmt.Fprintf(w, "finished in %s: %d\n", cmp.Or(c, "the cluster"), r.By[c])
 				}
 				for _, x := range r.Wrong {
 					fmt.Fprintln(w, "WRONG", x)
@@ -279,10 +278,3 @@
 	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
 	return c
 }
-
-func cmpName(c string) string {
-	if c == "" {
-		return "the cluster"
-	}
-	return c
-}
--- a/cmd/curlew/jobs.go
+++ b/cmd/curlew/jobs.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -64,11 +66,7 @@
 	if w, ok := of[v]; ok {
 		return w, nil
 	}
-	var words []string
-	for k := range of {
-		words = append(words, k)
-	}
-	return "", fmt.Errorf("--%s %q: must be one of %s", flag, v, strings.Join(sorted(words), ", "))
+	return "", fmt.Errorf("--%s %q: must be one of %s", flag, v, strings.Join(slices.Sorted(maps.Keys(of)), ", "))
 }
 
 func submitCommand() *cobra.Command {
--- a/cmd/curlew/look.go
+++ b/cmd/curlew/look.go
@@ -9,7 +9,6 @@
 	"os"
 	"os/signal"
 	"reflect"
-	"strings"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -133,25 +132,11 @@
 		gauge(borrowDesc, float64(len(f.Borrowed)), a)
 		v := reflect.ValueOf(f.Count)
 		for i := range v.NumField() {
-			ch <- prometheus.MustNewConstMetric(loanDesc, prometheus.CounterValue, float64(v.Field(i).Int()), a, snake(v.Type().Field(i).Name))
+			ch <- prometheus.MustNewConstMetric(loanDesc, prometheus.CounterValue, float64(v.Field(i).Int()), a, v.Type().Field(i).Tag.Get("metric"))
 		}
 	}
 }
 
-func snake(s string) string {
-	var b strings.Builder
-	for i, r := range s {
-		if r >= 'A' && r <= 'Z' {
-			if i > 0 {
-				b.WriteByte('_')
-			}
-			r += 'a' - 'A'
-		}
-		b.WriteRune(r)
-	}
-	return b.String()
-}
-
 func metricsCommand() *cobra.Command {
 	var listen string
 	c := &cobra.Command{
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -139,7 +139,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if now := fmt.Sprintf("%+v", Line(s)); now != last {
+		if now := Line(s); now != last {
 			last = now
 			if changed != nil {
 				changed(s)
--- a/internal/nomad/jobs.go
+++ b/internal/nomad/jobs.go
@@ -55,9 +55,7 @@
 }
 
 func (m *mapper) bad(at, format string, a ...any) {
-	if len(m.probs) < 100 {
-		m.probs = append(m.probs, at+": "+fmt.Sprintf(format, a...))
-	}
+	m.probs.add("%s: %s", at, fmt.Sprintf(format, a...))
 }
 
 // Jobs says which native jobs a job block is, or all that is wrong with it.
@@ -391,7 +389,7 @@
 		m.bad(task.At, "resources must be positive, devices whole")
 	}
 	if image == "" {
-		image = "nomad." + job.Labels[0] + "." + task.Labels0()
+		image = "nomad." + job.Labels[0] + "." + task.label()
 		assume("image %s: the task's config names none", image)
 	}
 	types, where2 := []string(nil), ""
@@ -445,8 +443,8 @@
 	return n
 }
 
-// Labels0 is a block's first label.
-func (n *Node) Labels0() string {
+// label is a block's first label; "" without one.
+func (n *Node) label() string {
 	if len(n.Labels) == 0 {
 		return ""
 	}
--- a/internal/nomad/json.go
+++ b/internal/nomad/json.go
@@ -115,9 +115,7 @@
 }
 
 func (r *jsonReader) bad(path, format string, a ...any) {
-	if len(r.probs) < 100 {
-		r.probs = append(r.probs, r.file+": "+path+": "+fmt.Sprintf(format, a...))
-	}
+	r.probs.add("%s: %s: %s", r.file, path, fmt.Sprintf(format, a...))
 }
 
 func (r *jsonReader) block(typ string, m map[string]any, path string) *Node {
@@ -126,7 +124,7 @@
 	verbatim := typ == "meta" || typ == "env" || typ == "config"
 	for _, k := range sortedKeys(m) {
 		if r.nodes++; r.nodes > maxNodes {
-			r.probs = append(r.probs, fmt.Sprintf("%s: more than %d blocks and fields", r.file, maxNodes))
+			r.probs.add("%s: more than %d blocks and fields", r.file, maxNodes)
 			return n
 		}
 		v, at := m[k], path+"."+k
--- a/internal/nomad/lang.go
+++ b/internal/nomad/lang.go
@@ -13,7 +13,6 @@
 
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/ext/typeexpr"
-	"github.com/hashicorp/hcl/v2/hclparse"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 	"github.com/zclconf/go-cty/cty"
 	"github.com/zclconf/go-cty/cty/convert"
@@ -58,6 +57,15 @@
 
 func (p Problems) Error() string { return strings.Join(p, "\n") }
 
+// mostProblems are told of one file.
+const mostProblems = 100
+
+func (p *Problems) add(format string, a ...any) {
+	if len(*p) < mostProblems {
+		*p = append(*p, fmt.Sprintf(format, a...))
+	}
+}
+
 type reader struct {
 	file  string
 	src   []byte
@@ -72,9 +80,6 @@
 
 // bad notes a problem with its place and its source line.
 func (r *reader) bad(g hcl.Range, format string, a ...any) {
-	if len(r.probs) >= 100 {
-		return
-	}
 	line := ""
 	if l := strings.Split(string(r.src), "\n"); g.Filename == r.file && g.Start.Line > 0 && g.Start.Line <= len(l) {
 		line = strings.TrimSpace(l[g.Start.Line-1])
@@ -83,7 +88,7 @@
 		}
 		line = "\n    " + line
 	}
-	r.probs = append(r.probs, r.at(g)+": "+fmt.Sprintf(format, a...)+line)
+	r.probs.add("%s: %s%s", r.at(g), fmt.Sprintf(format, a...), line)
 }
 
 func (r *reader) diags(d hcl.Diagnostics) {
@@ -141,7 +146,7 @@
 		}
 	}
 	if job == nil && len(r.probs) == 0 {
-		r.probs = append(r.probs, file+": there is no job block")
+		r.probs.add("%s: there is no job block", file)
 	}
 	r.ctx = &hcl.EvalContext{Functions: functions, Variables: map[string]cty.Value{}}
 	r.variables(vars, in)
@@ -199,7 +204,7 @@
 	set := func(from, name string, expr hcl.Expression, text string) {
 		t, known := types[name]
 		if !known {
-			r.probs = append(r.probs, fmt.Sprintf("%s: there is no variable %q", from, name))
+			r.probs.add("%s: there is no variable %q", from, name)
 			return
 		}
 		if expr == nil && (t == cty.String || t == cty.DynamicPseudoType) {
@@ -209,7 +214,7 @@
 		if expr == nil {
 			e, d := hclsyntax.ParseExpression([]byte(text), from, hcl.InitialPos)
 			if d.HasErrors() {
-				r.probs = append(r.probs, fmt.Sprintf("%s: variable %q: %q is no value", from, name, text))
+				r.probs.add("%s: variable %q: %q is no value", from, name, text)
 				return
 			}
 			expr = e
@@ -227,18 +232,20 @@
 	}
 	for _, name := range in.Files {
 		b, err := os.ReadFile(name)
-		if err != nil || len(b) > MaxSource {
-			r.probs = append(r.probs, fmt.Sprintf("%s: not read: %v", name, errors.Join(err)))
+		switch {
+		case err != nil:
+			r.probs.add("%s: not read: %v", name, err)
 			continue
-		}
-		if tooDeep(b) > 0 {
-			r.probs = append(r.probs, name+": brackets too deep")
+		case len(b) > MaxSource:
+			r.probs.add("%s: larger than %d bytes", name, MaxSource)
+			continue
+		case tooDeep(b) > 0:
+			r.probs.add("%s: brackets too deep", name)
 			continue
 		}
-		p := hclparse.NewParser()
-		f, d := p.ParseHCL(b, name)
+		f, d := hclsyntax.ParseConfig(b, name, hcl.InitialPos)
 		r.diags(d)
-		if f == nil || d.HasErrors() {
+		if d.HasErrors() {
 			continue
 		}
 		attrs, d := f.Body.JustAttributes()
@@ -250,7 +257,7 @@
 	for _, kv := range in.Vars {
 		k, v, ok := strings.Cut(kv, "=")
 		if !ok {
-			r.probs = append(r.probs, fmt.Sprintf("-var %q: must be name=value", kv))
+			r.probs.add("-var %q: must be name=value", kv)
 			continue
 		}
 		set("-var", k, nil, v)
--- a/internal/standin/federation_test.go
+++ b/internal/standin/federation_test.go
@@ -131,10 +131,7 @@
 			if c.from == "east" {
 				a, b = e, w
 			}
-			w.At(17, func() {
-				heal := w.Part(a, b, c.oneWay)
-				w.At(107, heal)
-			})
+			w.partFor(a, b, c.oneWay, 17, 107)
 		})
 		over(t, w, e, wire.Done, ids...)
 	}
@@ -146,10 +143,7 @@
 	var ids []string
 	w, e := pair(t, "done-while-taken-back", 6, 200, func(w, e *Sim) {
 		ids = busy(w, e)
-		w.At(22, func() {
-			heal := w.Part(w, e, false)
-			w.At(60, heal)
-		})
+		w.partFor(w, e, false, 22, 60)
 	})
 	over(t, w, e, wire.Done, ids...)
 }
@@ -168,10 +162,7 @@
 			for _, id := range e.workerIDs() {
 				e.Workers[id].Rate = 1 - sign*settings.Drift
 			}
-			w.At(17, func() {
-				heal := w.Part(w, e, false)
-				w.At(100, heal)
-			})
+			w.partFor(w, e, false, 17, 100)
 		})
 		over(t, w, e, wire.Done, ids...)
 	}
@@ -308,10 +299,7 @@
 			w, e := quietly(t, what, 14, 200, func(w, e *Sim) {
 				ids = busy(w, e)
 				if cut {
-					w.At(at, func() {
-						heal := w.Part(w, e, false)
-						w.At(150, heal)
-					})
+					w.partFor(w, e, false, at, 150)
 				}
 				for _, id := range ids {
 					w.Abort(at, id)
@@ -350,10 +338,7 @@
 				case 2:
 					if s != o {
 						one := w.rnd.IntN(2) == 0
-						w.At(at, func() {
-							heal := w.Part(s, o, one)
-							w.At(at+long, heal)
-						})
+						w.partFor(s, o, one, at, at+long)
 					}
 				case 3:
 					w.At(at, func() { s.State.Outage(time.Duration(long/2) * time.Second) })
--- a/internal/standin/live.go
+++ b/internal/standin/live.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/valyala/fasthttp"
 
 	"curlewspool/internal/settings"
@@ -194,10 +193,9 @@
 // themselves are processes of their own.
 func (l *Live) Cluster(name string, p []settings.Platform, machines int, left int) *Sim {
 	n := l.net
-	s := &Sim{Net: n, Name: name, Nodes: map[string]*Host{}, Workers: map[string]*Worker{}, jobs: map[string]*wire.Job{},
-		aborted: map[string]time.Duration{}, told: map[string]string{}}
+	var s *Sim
 	l.Do(func() {
-		n.sims[name] = s
+		s = n.sim(name)
 		for i := range p {
 			s.all = append(s.all, p[i].Name)
 			s.Nodes[p[i].Name] = &Host{s: s, name: p[i].Name, set: &settings.Settings{Platform: p[i], Operators: settings.Defaults()}}
@@ -315,8 +313,7 @@
 		f.bad[api]++
 		f.mu.Unlock()
 	}
-	b, _ := cbor.Marshal(&wire.Problem{Error: "no controller answers"})
-	return reply{503, b}
+	return reply{503, wire.Encode(&wire.Problem{Error: "no controller answers"})}
 }
 
 // Ended lists the rules that were seen broken; to be called after Run's end.
--- a/internal/standin/partners.go
+++ b/internal/standin/partners.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -79,11 +81,8 @@
 
 // each calls f for every task on any machine of any cluster, in a fixed order.
 func (n *Net) each(f func(w *Worker, t *task)) {
-	for _, name := range []string{"", "west", "east", "north", "south"} {
+	for _, name := range slices.Sorted(maps.Keys(n.sims)) {
 		s := n.sims[name]
-		if s == nil {
-			continue
-		}
 		for _, id := range s.workerIDs() {
 			for _, t := range s.Workers[id].tasks {
 				f(s.Workers[id], t)
@@ -127,6 +126,14 @@
 	}
 }
 
+// partFor cuts two clusters off from one time to another, in seconds.
+func (n *Net) partFor(a, b *Sim, oneWay bool, from, to float64) {
+	n.At(from, func() {
+		heal := n.Part(a, b, oneWay)
+		n.At(to, heal)
+	})
+}
+
 // CrashAll ends all controllers of a cluster.
 func (s *Sim) CrashAll() {
 	for _, name := range s.all {
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -120,11 +120,17 @@
 // NewSized makes one of several controllers.
 func NewSized(seed uint64, nodes int) *Sim { return newNet(seed).cluster("", nodes) }
 
-// cluster adds a cluster with its state service and cloud.
-func (n *Net) cluster(name string, nodes int) *Sim {
+// sim adds a cluster with nothing in it.
+func (n *Net) sim(name string) *Sim {
 	s := &Sim{Net: n, Name: name, Nodes: map[string]*Host{}, Workers: map[string]*Worker{}, jobs: map[string]*wire.Job{},
 		aborted: map[string]time.Duration{}, told: map[string]string{}}
 	n.sims[name] = s
+	return s
+}
+
+// cluster adds a cluster with its state service and cloud.
+func (n *Net) cluster(name string, nodes int) *Sim {
+	s := n.sim(name)
 	for i := 0; i < nodes; i++ {
 		s.all = append(s.all, fmt.Sprintf("n%d", i))
 	}
