Stand-in: controllers that stand still, full sockets, late and failed boots

A frozen process keeps what comes; when it goes on, all is there at once, in no order, and what it was just sending may leave only then.

--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -295,6 +295,8 @@
 	n     int
 	hires map[string][]string
 	Names []string // requests seen, in order
+	Boots float64  // times as long as usual that machines take to boot; 0: as usual
+	Fails int      // so many of the next machines never come up
 	calls budget
 }
 
@@ -378,7 +380,11 @@
 func (c *Cloud) boot(typ, zone string, spot bool) string {
 	w := c.s.AddWorker(typ, zone, spot)
 	w.up = false
-	boot := time.Duration(w.typ.Boot * (0.8 + 0.4*c.s.rnd.Float64()) * float64(time.Second))
+	boot := time.Duration(w.typ.Boot * (0.8 + 0.4*c.s.rnd.Float64()) * rate(c.Boots) * float64(time.Second))
+	if c.Fails > 0 {
+		c.Fails--
+		return w.id
+	}
 	c.s.after(boot, func() {
 		if !w.gone {
 			w.up = true
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -38,13 +38,16 @@
 	Broken []string
 	live   *Live                         // nil in simulated time
 	sims   map[string]*Sim               // the clusters, by name
+	hosts  map[string]*Host              // the controllers, by each of their addresses
 	Twice  func(to string) time.Duration // a request there arrives again after that; 0: once
 	seen   *Seen
+	// OnCall is told each request as it is made.
+	OnCall func(from, method, path string)
 }
 
 func newNet(seed uint64) *Net {
 	return &Net{refuse: map[string]bool{}, rnd: rand.New(rand.NewPCG(seed, 1)), serve: map[string]server{}, cuts: map[string]bool{},
-		held: map[string][]func(){}, sims: map[string]*Sim{}}
+		held: map[string][]func(){}, sims: map[string]*Sim{}, hosts: map[string]*Host{}}
 }
 
 // listen puts a server at an address; driven by the real clock, at a free
@@ -151,6 +154,7 @@
 		d.Limits.CoreShare, d.Limits.RAM, d.Limits.Sockets = 0.2, 100, 500
 		h := &Host{s: s, name: name, set: &settings.Settings{Platform: p, Operators: settings.Defaults()}}
 		s.Nodes[name] = h
+		s.hosts[p.API], s.hosts[p.Mesh] = h, h
 		if s.S == nil {
 			s.S = h.set
 		}
@@ -276,7 +280,19 @@
 		s.held[k] = append(s.held[k], f)
 		return
 	}
-	s.after(s.latency(), f)
+	h := s.hosts[from]
+	if h == nil {
+		s.after(s.latency(), f)
+		return
+	}
+	life := h.life
+	s.after(s.latency(), func() {
+		if h.frozen && h.holds { // it had not left the process yet
+			h.stuck = append(h.stuck, func() { h.step(life, f) })
+			return
+		}
+		f()
+	})
 }
 
 // call is one request and its answer; done is called once, with 0 at the time-out.
@@ -294,6 +310,9 @@
 		})
 		return
 	}
+	if s.OnCall != nil {
+		s.OnCall(from, method, path)
+	}
 	over := false
 	s.after(timeout, func() {
 		if !over {
@@ -346,6 +365,11 @@
 	start time.Duration
 	Rate  float64 // of its steady clock; 0: exact
 	Node  *node.Node
+	Full  bool // it has no socket left for users and workers
+
+	frozen bool
+	holds  bool     // what it was sending when it froze leaves when it goes on
+	stuck  []func() // what is to happen in it when it goes on
 }
 
 // rate of a steady clock.
@@ -368,16 +392,53 @@
 // Crash ends it without warning.
 func (h *Host) Crash() {
 	h.s.Trace("%s crashes", h.s.addr(h.name))
-	h.up = false
+	h.up, h.frozen, h.stuck = false, false, nil
 	h.life++
 }
 
+// Freeze makes the process stand still for a while; its clocks run on. When it
+// goes on, all that came meanwhile (answers, requests, timers) is there at
+// once, in no order. holds: so is what it was just sending; otherwise that has
+// left before.
+func (h *Host) Freeze(d time.Duration, holds bool) {
+	if h.frozen || !h.up {
+		return
+	}
+	h.s.Trace("%s stands still", h.s.addr(h.name))
+	h.frozen, h.holds = true, holds
+	life := h.life
+	h.s.after(d, func() {
+		if !h.up || h.life != life {
+			return
+		}
+		h.s.Trace("%s goes on", h.s.addr(h.name))
+		h.frozen = false
+		stuck := h.stuck
+		h.stuck = nil
+		h.s.rnd.Shuffle(len(stuck), func(i, k int) { stuck[i], stuck[k] = stuck[k], stuck[i] })
+		for _, f := range stuck {
+			f()
+		}
+	})
+}
+
+// step does f in the process that was started as life, unless that has ended;
+// in a frozen one when it goes on.
+func (h *Host) step(life int, f func()) {
+	switch {
+	case !h.up || h.life != life:
+	case h.frozen:
+		h.stuck = append(h.stuck, func() { h.step(life, f) })
+	default:
+		f()
+	}
+}
+
 type world struct {
 	h    *Host
 	life int
 }
 
-func (w *world) alive() bool { return w.h.up && w.h.life == w.life }
 func (w *world) Now() time.Duration {
 	return time.Duration(float64(w.h.s.now-w.h.start)*rate(w.h.Rate)) + time.Second
 }
@@ -386,18 +447,12 @@
 func (w *world) After(d time.Duration, f func()) {
 	// Rounded up: what waits for a moment of its own clock must not find that
 	// it is still to come, again and again.
-	w.h.s.after(time.Duration(math.Ceil(float64(d)/rate(w.h.Rate))), func() {
-		if w.alive() {
-			f()
-		}
-	})
+	w.h.s.after(time.Duration(math.Ceil(float64(d)/rate(w.h.Rate))), func() { w.h.step(w.life, f) })
 }
 
 func (w *world) Call(addr, method, path string, in, out any, timeout time.Duration, done func(int)) {
 	w.h.s.call(w.h.s.addr(w.h.name), addr, method, path, in, out, timeout, func(status int) {
-		if w.alive() {
-			done(status)
-		}
+		w.h.step(w.life, func() { done(status) })
 	})
 }
 
@@ -414,8 +469,8 @@
 	s.after(s.latency(), func() {
 		to := s.Nodes[member]
 		c := &mesh.Envelope{}
-		if to.up && proto.Unmarshal(b, c) == nil {
-			to.Node.Heard(c)
+		if proto.Unmarshal(b, c) == nil {
+			to.step(to.life, func() { to.Node.Heard(c) })
 		}
 	})
 }
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -27,10 +27,7 @@
 func (s *Sim) API() {
 	for _, name := range s.all {
 		h := s.Nodes[name]
-		s.serve[s.addr("api-"+name)] = func(method, path string, body []byte, reply func(int, any)) {
-			if !h.up {
-				return
-			}
+		serve := func(method, path string, body []byte, reply func(int, any)) {
 			user := func(status int, b any, _ int) { reply(status, b) }
 			switch {
 			case path == "/v1/report":
@@ -46,6 +43,13 @@
 				h.Node.Poll(strings.TrimPrefix(path, "/v2/runs/"), user)
 			}
 		}
+		s.serve[s.addr("api-"+name)] = func(method, path string, body []byte, reply func(int, any)) {
+			if h.Full && h.up { // no free socket: the connection fails at once
+				reply(0, nil)
+				return
+			}
+			h.step(h.life, func() { serve(method, path, body, reply) })
+		}
 	}
 }
 
