--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,6 +62,7 @@
 	renting  int
 	deleting bool
 	spared   bool
+	coming   func(rank int) float64
 }
 
 type booting struct {
@@ -89,7 +90,7 @@
 func New(w world.World, s *settings.Settings, token uint64) *Fleet {
 	return &Fleet{w: w, s: s, addr: s.Services.Cloud, name: fmt.Sprintf("r-%s-%d", s.Name, token),
 		booting: map[string]booting{}, deleted: map[string]time.Duration{}, refused: map[option]refusal{}, seen: map[string]time.Duration{},
-		budget: s.Deployment.Cloud.RPS, listAt: -time.Hour}
+		budget: s.Deployment.Cloud.RPS, listAt: -time.Hour, coming: func(int) float64 { return 0 }}
 }
 
 // Gone tells whether the machine was deleted for certain.
@@ -120,10 +121,12 @@
 const timeout = 4 * time.Second
 
 // Tick rents, lists and deletes. retiring are the machines that their owners
-// want deleted; found is told each list, forget machines that are surely gone.
+// want deleted; coming is how many cores the spot work of higher ranks than one
+// will take that has yet to come; found is told each list, forget machines that
+// are surely gone.
 func (f *Fleet) Tick(types map[string]*wire.MachineType, known []Known, retiring map[string]bool, gaps []Gap, busy Busy,
-	found func([]wire.ListedMachine), forget func(ids []string)) {
-	f.types = types
+	coming func(rank int) float64, found func([]wire.ListedMachine), forget func(ids []string)) {
+	f.types, f.coming = types, coming
 	now := f.w.Now()
 	records := map[string]*part.MachineRecord{}
 	for _, k := range known {
@@ -339,6 +342,7 @@
 	f.spared = all.spared
 	want := map[option]int{}
 	var order []option
+	probed := map[option]bool{}
 	for _, g := range gaps {
 		n := g.Tasks
 		for _, b := range bins {
@@ -350,10 +354,20 @@
 			}
 		}
 		for n > 0 {
-			o, ok := f.cheapest(g, n, &all, now)
+			o, ok := f.cheapest(g, n, &all, probed, now)
 			if !ok {
 				break
 			}
+			// What was refused last is asked for one machine, which counts for
+			// nothing before it is granted. (Hundreds of spot machines that the
+			// cloud did not have were counted as good as there, round after
+			// round, and thousands of cores' worth of work was late without the
+			// ordinary machines that there were.)
+			if f.refused[o].times > 0 {
+				probed[o], want[o] = true, 1
+				order = append(order, o)
+				continue
+			}
 			b := add(o)
 			if g.Job.Spot { // spot machines wanted now count as well
 				all.added += b.cores
@@ -385,7 +399,7 @@
 // cheapest finds what to rent for up to n tasks of a job: the least money for
 // a task until it is done, boot time included; a boot counts twice, since the
 // job waits for it as well.
-func (f *Fleet) cheapest(g Gap, n int, all *demand, now time.Duration) (option, bool) {
+func (f *Fleet) cheapest(g Gap, n int, all *demand, probed map[option]bool, now time.Duration) (option, bool) {
 	var best option
 	cost := math.Inf(1)
 	for _, name := range slices.Sorted(maps.Keys(f.types)) {
@@ -393,7 +407,7 @@
 		for _, z := range t.Zones {
 			for _, spot := range []bool{true, false} {
 				o := option{name, z, spot}
-				if !part.Allows(g.Job, t, z, spot) || now < f.refused[o].until {
+				if !part.Allows(g.Job, t, z, spot) || probed[o] || now < f.refused[o].until {
 					continue
 				}
 				if !spot && g.Starts > 0 && g.Starts < t.Boot {
@@ -475,6 +489,7 @@
 	held := busy.Cores
 	type due struct {
 		in, work float64
+		rank     int
 	}
 	var d demand
 	var list []due
@@ -487,14 +502,14 @@
 		d.cores += c
 		e := max(g.Job.Estimate, 1)
 		if len(g.Due) == 0 { // as soon as it could be
-			list = append(list, due{max(e/2, 2*fastest), c * e})
+			list = append(list, due{max(e/2, 2*fastest), c * e, g.Job.Rank})
 		}
 		for _, at := range g.Due {
 			// The first that can still be met without an effort out of
 			// proportion, by machines that would be up for half of the time. A
 			// part of an estimate is kept for what estimates miss.
 			if in := at - g.Waited - 1.25*e; in >= max(e/2, 2*fastest) {
-				list = append(list, due{in, c * e})
+				list = append(list, due{in, c * e, g.Job.Rank})
 				break
 			}
 		}
@@ -509,7 +524,7 @@
 		for _, s := range boots {
 			capacity += s.cores * max(0, 1-s.boot/g.in)
 		}
-		missing := work/g.in - max(0, capacity)
+		missing := work/g.in + f.coming(g.rank) - max(0, capacity)
 		d.short = append(d.short, short{g.in, missing})
 		if missing+rented > 0 {
 			d.spared = false
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
+	"time"
 
+	"curlewspool/internal/mesh"
 	"curlewspool/internal/part"
 	"curlewspool/internal/settings"
 	"curlewspool/internal/wire"
 )
 
 func cloud() *Fleet {
-	return &Fleet{s: &settings.Settings{Operators: settings.Defaults()}, booting: map[string]booting{}, types: map[string]*wire.MachineType{
+	return &Fleet{s: &settings.Settings{Operators: settings.Defaults()}, coming: func(int) float64 { return 0 }, booting: map[string]booting{}, types: map[string]*wire.MachineType{
 		"quick": {Name: "quick", Cores: 10, Memory: 99, Boot: 20, Zones: []string{"a"}},
 		"slow":  {Name: "slow", Cores: 4, Memory: 99, Boot: 50, Zones: []string{"a"}},
 	}}
@@ -55,3 +58,108 @@
 		}
 	}
 }
+
+// What waits with a low rank is late though it would be in time on what is
+// there: work of a higher rank keeps coming and goes first. Found on days of
+// the fleet's size, where member-billing waited for minutes beside hundreds of
+// ordinary machines that nobody rented.
+func TestDemandBesideWhatComes(t *testing.T) {
+	waits := []Gap{array(100, 30, 0, 180)}
+	for _, c := range []struct {
+		coming float64
+		lacks  bool
+	}{{0, false}, {30, true}} {
+		f := cloud()
+		f.coming = func(rank int) float64 {
+			if rank > 0 {
+				return 0
+			}
+			return c.coming
+		}
+		if d := f.demand(there(4, true), nil, waits, Busy{}, 0); d.lacks(50) > 0 != c.lacks {
+			t.Errorf("with %v cores' worth to come, more machines are wanted: %v", c.coming, !c.lacks)
+		}
+		waits[0].Job.Rank = 1 // ahead of what comes
+		if d := f.demand(there(4, true), nil, waits, Busy{}, 0); d.lacks(50) > 0 {
+			t.Error("work that goes first waits for nobody")
+		}
+		waits[0].Job.Rank = 0
+	}
+}
+
+func TestArrivals(t *testing.T) {
+	a := NewArrivals(120 * time.Second)
+	j := func(rank, tasks int, spot bool) *wire.Job {
+		return &wire.Job{Rank: rank, Tasks: tasks, Cores: 2, Estimate: 10, Spot: spot}
+	}
+	now := time.Hour
+	a.Note(j(1, 1000, true), now-115*time.Second, now) // the rush at the start
+	for s := 5; s < 110; s += 10 {
+		a.Note(j(1, 5, true), now-time.Duration(s)*time.Second, now) // 10 cores' worth
+		a.Note(j(1, 50, false), now-time.Duration(s)*time.Second, now)
+	}
+	a.Note(j(1, 9999, true), now-10*time.Minute, now) // long ago
+	a.Note(j(1, 9999, true), now+time.Minute, now)    // a clock ahead
+	if got := a.Above(0, now); got < 9 || got > 11 {
+		t.Errorf("%v cores above the lowest rank, want about 10", got)
+	}
+	if got := a.Above(1, now); got != 0 {
+		t.Errorf("%v cores above rank 1, want none", got)
+	}
+	if got := a.Above(0, now+time.Hour); got != 0 {
+		t.Errorf("an hour later still %v cores", got)
+	}
+}
+
+// asker is a cloud that has no spot machines and plenty of ordinary ones.
+type asker struct {
+	now   time.Duration
+	calls []wire.Rental
+}
+
+func (w *asker) Now() time.Duration          { return w.now }
+func (w *asker) Wall() time.Time             { return time.Unix(0, 0) }
+func (w *asker) Rand() *rand.Rand            { return rand.New(rand.NewPCG(1, 2)) }
+func (w *asker) After(time.Duration, func()) {}
+func (w *asker) Send(string, *mesh.Envelope) {}
+func (w *asker) Call(_, _, path string, in, out any, _ time.Duration, done func(int)) {
+	r, ok := in.(*wire.Rental)
+	if !ok {
+		return
+	}
+	w.calls = append(w.calls, *r)
+	if r.Spot {
+		done(503)
+		return
+	}
+	for i := 0; i < r.Count; i++ {
+		out.(*wire.MachineNames).Machines = append(out.(*wire.MachineNames).Machines, fmt.Sprintf("%s.%d", r.Request, i))
+	}
+	done(200)
+}
+
+// A spot market that is empty is asked for one machine at a time and does not
+// keep ordinary ones from being rented.
+func TestEmptySpotMarket(t *testing.T) {
+	s := &settings.Settings{Operators: settings.Defaults()}
+	s.Deployment.Cloud.RPS, s.Deployment.Cloud.ListLag, s.Deployment.Workers.Lease = 100, 1000, 10
+	w := &asker{}
+	f := New(w, s, 1)
+	f.listAt = 0
+	types := map[string]*wire.MachineType{"quick": {Name: "quick", Cores: 10, Memory: 99, Price: 1, Spot: 0.3, Boot: 20, Zones: []string{"a"}}}
+	ordinary, most := 0, 0
+	for i := 0; i < 60; i++ {
+		w.now += time.Second
+		f.Tick(types, nil, nil, []Gap{array(300, 30, 0, 180)}, Busy{}, func(int) float64 { return 0 }, func([]wire.ListedMachine) {}, func([]string) {})
+	}
+	for i, r := range w.calls {
+		if !r.Spot {
+			ordinary += r.Count
+		} else if i > 0 {
+			most = max(most, r.Count)
+		}
+	}
+	if ordinary == 0 || most != 1 {
+		t.Errorf("%d ordinary machines rented, want some; up to %d spot machines asked for again, want one", ordinary, most)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,6 +46,7 @@
 	rosters  map[string][]string // machines under each key
 	enlist   enlist
 	due      map[string][]float64 // by class: deadlines that the objectives set
+	arrivals *fleet.Arrivals
 
 	peers   map[string]*peer
 	goodFor time.Duration // since when this controller has been ready
@@ -89,6 +90,7 @@
 	for _, m := range s.Members {
 		n.peers[m.Name] = &peer{heard: -time.Hour, ready: -time.Hour, sign: -time.Hour}
 	}
+	n.arrivals = fleet.NewArrivals(4 * n.lease())
 	n.l = ledger.New(w, s.Services.State, s.Name, ledger.Limits{RPS: d.State.RPS, WriteRPS: d.State.WriteRPS,
 		ValueKB: d.State.ValueKB, TxnOps: d.State.TxnOps, Members: len(n.names)}, n.changed)
 	n.book = lead.New(s.Name, n.l)
@@ -255,6 +257,9 @@
 			slog.Error("node: bad job record", "key", key, "err", err)
 			return
 		}
+		if n.jobs[id] == nil && rec.Loan == nil {
+			n.arrivals.Note(&rec.Job, world.Seconds(rec.At), world.Seconds(n.Wall()))
+		}
 		n.jobs[id] = rec
 		n.noteLarge(&rec.Job)
 		if n.desk != nil {
@@ -921,7 +926,8 @@
 			busy.Cores += cores
 		}
 	}
-	n.fleet.Tick(n.types, known, retiring, gaps, busy, n.found, n.forget)
+	coming := func(rank int) float64 { return n.arrivals.Above(rank, world.Seconds(n.Wall())) }
+	n.fleet.Tick(n.types, known, retiring, gaps, busy, coming, n.found, n.forget)
 	n.enrol()
 }
 
