--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -53,6 +53,7 @@
 	syncTimer bool
 	askers    []func(bool)
 	badSince  time.Duration // no good answer since; 0: the last was good
+	good      time.Duration // when the newest good answer came; 0: none yet
 	seenOK    time.Duration // sent time of the newest answered /changes
 
 	queue    [3][]*Write
@@ -330,10 +331,14 @@
 			l.badSince = l.w.Now()
 		}
 	default:
-		l.badSince = 0
+		l.badSince, l.good = 0, l.w.Now()
 	}
 }
 
+// Good is when the service last answered well, by this process's clock; bad is
+// since when it has not (0: the last answer was good).
+func (l *Ledger) Good() (good, bad time.Duration) { return l.good, l.badSince }
+
 // Down tells that requests have gone unanswered or refused for a while, so
 // that a user is better told at once to come back later.
 func (l *Ledger) Down() bool {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,12 +70,15 @@
 	demandAt time.Duration
 
 	desk *federation.Desk // nil: no partners
+
+	hearing hearing
 }
 
 type peer struct {
 	heard  time.Duration // of its latest status
 	since  time.Duration // ready without a break since
 	ready  time.Duration // of its latest status that said ready
+	good   time.Duration // the latest moment at which the state service is known to have answered it
 	sign   time.Duration // of its latest sign of life in the state service
 	status *mesh.Status
 }
@@ -442,6 +445,11 @@
 	}
 	now := n.w.Now()
 	limit := time.Duration(float64(n.lease()) * n.s.Grants.Absent)
+	if n.missed(name) {
+		// Its workers' leases are running out. More than the time in which a
+		// process is restarted, which then takes its own back.
+		limit = limit * 7 / 10
+	}
 	return now-max(p.ready, p.sign) > limit && n.ready() && now-n.goodFor > limit
 }
 
@@ -510,9 +518,10 @@
 	}
 	there := func(name string) bool {
 		if name == n.s.Name {
-			return true
+			return !n.hearing.deaf
 		}
-		return now-n.peers[name].ready < 3*n.heartbeat()
+		p := n.peers[name]
+		return now-p.ready < 3*n.heartbeat() && !p.status.Deaf
 	}
 	for k, name := range n.names {
 		o := n.book.Owner(lead.PartKey(k))
@@ -523,7 +532,9 @@
 			continue // others may still be starting
 		}
 		best, zone := "", n.homeZone(k, home)
-		if there(name) && count[name] == 0 && (zone == "" || n.zoneOf(name) == zone) {
+		if h, many := n.heardBy(k); many && h != o && there(h) {
+			best = h
+		} else if there(name) && count[name] == 0 && (zone == "" || n.zoneOf(name) == zone) {
 			best = name
 		} else {
 			for _, m := range n.names {
@@ -681,7 +692,10 @@
 func (n *Node) beat() {
 	now := n.w.Now()
 	n.signs(now)
-	st := &mesh.Status{Ready: n.ready()}
+	st := &mesh.Status{Ready: n.ready(), Hears: n.hearing.counts(n), Deaf: n.hearing.deaf}
+	if good, _ := n.l.Good(); good > 0 {
+		st.StateAgeMs = max(1, uint32((now - good).Milliseconds()))
+	}
 	n.eachPart(func(p *part.Part) {
 		if n.owns(p.K) == nil {
 			return
@@ -692,6 +706,7 @@
 	})
 	n.learnSlots(st)
 	n.status = st
+	n.listen()
 	if n.leads() {
 		n.assign()
 		n.rent()
@@ -1064,6 +1079,9 @@
 	switch b := e.Body.(type) {
 	case *mesh.Envelope_Status:
 		p.heard, p.status = now, b.Status
+		if age := b.Status.StateAgeMs; age > 0 {
+			p.good = max(p.good, now-time.Duration(age)*time.Millisecond)
+		}
 		if b.Status.Ready {
 			if now-p.ready > 3*n.heartbeat() {
 				p.since = now
@@ -1129,6 +1147,7 @@
 		return
 	}
 	rec := n.machines[r.Machine]
+	n.hearing.heard(r.Machine, rec != nil && n.parts[rec.Part] != nil, n.w.Now())
 	if rec == nil {
 		n.unlisted(r, reply)
 		return
@@ -1220,17 +1239,21 @@
 func (n *Node) Reserved(id string) bool { return n.desk != nil && federation.Reserved(id) }
 
 // Up tells the load balancer whether to send users here. A node that the
-// state service alone refuses sends them elsewhere; in an outage for all it
-// would only make the way back longer.
+// state service alone refuses sends them elsewhere. In an outage for all it must
+// not: the balancer would take every controller out, for longer each time, and
+// users would find none when the service is back. (Seen on days of the fleet's
+// size: 430 requests found no healthy controller, most of them after an outage.)
+// So it takes a peer that was answered after this one was refused.
 func (n *Node) Up() bool {
 	if !n.l.Loaded() || len(n.types) == 0 {
 		return false
 	}
-	if !n.l.Down() {
+	_, bad := n.l.Good()
+	if !n.l.Down() || bad == 0 {
 		return true
 	}
 	for _, p := range n.peers {
-		if n.w.Now()-p.ready < 2*n.heartbeat() {
+		if p.good > bad+n.heartbeat()/4 { // more than clocks and messages are off
 			return false
 		}
 	}
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -256,6 +256,9 @@
 	}
 }
 
+// Since is when the part was taken over.
+func (p *Part) Since() time.Duration { return p.since }
+
 // machines lists them by name. The list is not changed in place.
 func (p *Part) machines() []*Machine {
 	if p.order == nil {
--- /dev/null
+++ b/internal/standin/freeze_test.go
@@ -0,0 +1,242 @@
+package standin
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"curlewspool/internal/wire"
+)
+
+// A controller stands still while its clocks run on. When it goes on, its
+// grant, timers, half-made decisions, open requests and queued messages are all
+// old at once. The rule (docs/recovery.md): nothing that was decided before may
+// take effect on its own word; whoever is asked (the state service by the
+// owner's stamp, a worker by token and session, a user by a proof asked for
+// after the question) refuses what is old.
+
+// leader is the controller that leads, as n0 sees it.
+func (s *Sim) leader() *Host { return s.Nodes[s.Nodes["n0"].Node.Describe().Leader] }
+
+// owner is a controller that owns a part and does not lead.
+func (s *Sim) owner() *Host {
+	for _, n := range s.names() {
+		if h := s.Nodes[n]; h != s.leader() && len(h.Node.Describe().Parts) > 0 {
+			return h
+		}
+	}
+	return s.leader()
+}
+
+// A short stop costs nothing: no part changes hands, no task starts again.
+func TestFrozenForAMoment(t *testing.T) {
+	s := day(t, "frozen-moment", 31, 90, func(s *Sim) {
+		fleet(s, 6, 0)
+		s.Submit(5, Spec("wk-1", wire.Array, 24, 1, 30, nil))
+		s.Submit(14, Spec("wk-2", wire.Array, 6, 1, 5, nil))
+		s.At(12, func() { s.leader().Freeze(3*time.Second, true) })
+	})
+	told(t, s, wire.Done, "wk-1", "wk-2")
+	if n := strings.Count(s.Text(), "starts wk-1/"); n != 24 {
+		t.Errorf("%d starts of 24 tasks", n)
+	}
+}
+
+// One that stands still for longer than its grant: its workers go to the others,
+// who see it by that and take its parts before leases end. What it had decided
+// comes too late when it wakes.
+func TestFrozenPastItsGrant(t *testing.T) {
+	for name, who := range map[string]func(*Sim) *Host{"frozen-leader": (*Sim).leader, "frozen-owner": (*Sim).owner} {
+		s := day(t, name, 32, 120, func(s *Sim) {
+			fleet(s, 6, 0)
+			s.Submit(5, Spec("wk-1", wire.Array, 24, 1, 40, nil))
+			s.Submit(14, Spec("wk-2", wire.Array, 6, 1, 5, nil))
+			s.Abort(20, "wk-2")
+			s.At(12, func() { who(s).Freeze(25*time.Second, true) })
+		})
+		told(t, s, wire.Done, "wk-1")
+		if strings.Contains(s.Text(), "lease over") {
+			t.Errorf("%s: workers lost their leases", name)
+		}
+		if n := strings.Count(s.Text(), "starts wk-1/"); n != 24 {
+			t.Errorf("%s: %d starts of 24 tasks", name, n)
+		}
+	}
+}
+
+// It wakes into an outage of the state service that began while it stood still.
+func TestFrozenIntoOutage(t *testing.T) {
+	s := day(t, "frozen-into-outage", 33, 150, func(s *Sim) {
+		fleet(s, 6, 0)
+		s.Submit(5, Spec("wk-1", wire.Array, 24, 1, 30, nil))
+		s.At(12, func() { s.leader().Freeze(9*time.Second, false) })
+		s.At(18, func() { s.State.Outage(10 * time.Second) })
+		s.Submit(19, Spec("wk-2", wire.Array, 6, 1, 5, nil))
+		s.Abort(20, "wk-1")
+	})
+	told(t, s, wire.Withdrawn, "wk-1")
+	told(t, s, wire.Done, "wk-2")
+}
+
+// All stand still at once, with a rush on its way.
+func TestAllFrozen(t *testing.T) {
+	s := day(t, "frozen-all", 34, 120, func(s *Sim) {
+		fleet(s, 6, 0)
+		s.Submit(5, Spec("wk-1", wire.Array, 24, 1, 30, nil))
+		for _, n := range s.all {
+			s.At(12, func() { s.Nodes[n].Freeze(7*time.Second, n != "n1") })
+		}
+		for i := 2; i < 8; i++ {
+			s.Submit(12+float64(i)/4, Spec(fmt.Sprintf("wk-%d", i), wire.Array, 4, 1, 5, nil))
+		}
+	})
+	told(t, s, wire.Done, "wk-1", "wk-2", "wk-7")
+	if strings.Contains(s.Text(), "lease over") {
+		t.Error("workers lost their leases")
+	}
+}
+
+// Frozen at each step: when it makes the n-th request of a kind, before or after
+// that has left, as leader or as an owner, for less or more than its grant, and
+// waking into an outage or not. No rule breaks and all is done.
+func TestFrozenAtEachStep(t *testing.T) {
+	if testing.Short() {
+		t.Skip("some seconds")
+	}
+	steps := []struct{ name, part string }{
+		{"a write", "/multi"}, {"a launch", "/orders"}, {"a renewal", "/touch"}, {"a proof", "/changes"}, {"a rental", "/rentals"}, {"an answer", ""},
+	}
+	for i, step := range steps {
+		for variant := 0; variant < 24; variant++ {
+			holds, leads, outage := variant&1 > 0, variant&2 > 0, variant&4 > 0
+			// Less than others wait; less than its grant, which others need not
+			// wait for; more than both.
+			d := []time.Duration{4 * time.Second, 11 * time.Second, 22 * time.Second}[variant/8]
+			if step.part == "/rentals" && !leads {
+				continue // others rent nothing
+			}
+			name := fmt.Sprintf("%s, for %v, held %v, leader %v, outage %v", step.name, d, holds, leads, outage)
+			s := New(uint64(100 + 24*i + variant))
+			s.API()
+			w := fleet(s, 5, 0)
+			s.Cloud.Left["small/a/false"] = 3
+			s.Submit(5, Spec("wk-1", wire.Array, 20, 1, 20, nil))
+			s.Submit(8.5, Spec("wk-2", wire.Gang, 2, 2, 10, nil))
+			s.Submit(9, Spec("wk-3", wire.Array, 30, 1, 8, nil))
+			s.Submit(9.5, Spec("wk-4", wire.Array, 4, 1, 8, nil))
+			s.Abort(12, "wk-4")
+			var who *Host
+			done := false
+			freeze := func() {
+				done = true
+				who.Freeze(d, holds)
+				if outage {
+					s.after(d-2*time.Second, func() { s.State.Outage(6 * time.Second) })
+				}
+			}
+			s.At(9, func() {
+				who = s.owner()
+				if leads {
+					who = s.leader()
+				}
+				// One machine reaches only this controller, which could thus go
+				// on answering it when others have taken its part; and the cloud
+				// deletes nothing, so that leases alone prove what is gone.
+				for _, n := range s.all {
+					if step.part != "/rentals" {
+						s.Cut(n, "cloud")
+					}
+					if n != who.name {
+						s.Cut(w[0].Addr(), n)
+						s.Cut(w[0].Addr(), s.api(n))
+					}
+				}
+				if step.part == "" { // whatever it answers at that moment
+					s.after(time.Duration(variant)*37*time.Millisecond, freeze)
+				}
+			})
+			s.OnCall = func(from, _, path string) {
+				if who != nil && !done && step.part != "" && from == s.addr(who.name) && strings.Contains(path, step.part) {
+					freeze()
+				}
+			}
+			s.Start()
+			s.Run(150)
+			for _, b := range s.Broken {
+				t.Errorf("%s: rule broken: %s", name, b)
+			}
+			if !done {
+				t.Errorf("%s: the step never came", name)
+			}
+			for _, id := range []string{"wk-1", "wk-2", "wk-3"} {
+				if got := s.Told(id); got != wire.Done {
+					t.Errorf("%s: %s is %q", name, id, got)
+				}
+			}
+			if got := s.Told("wk-4"); got != wire.Withdrawn && got != wire.Done {
+				t.Errorf("%s: wk-4 is %q, was to be cancelled", name, got)
+			}
+		}
+	}
+}
+
+// A controller loses only its workers: it is well in all other eyes. It gives
+// its parts up because others hear its machines, and none of them loses its
+// lease.
+func TestDeafOwner(t *testing.T) {
+	s := day(t, "deaf-owner", 35, 150, func(s *Sim) {
+		w := fleet(s, 9, 0)
+		s.Submit(5, Spec("wk-1", wire.Array, 36, 1, 60, nil))
+		var pairs [][2]string
+		for _, x := range w {
+			pairs = append(pairs, [2]string{x.Addr(), "n1"}, [2]string{x.Addr(), "api-n1"})
+		}
+		s.cutFor(14, 60, pairs)
+	})
+	told(t, s, wire.Done, "wk-1")
+	if strings.Contains(s.Text(), "lease over") {
+		t.Error("workers lost their leases")
+	}
+	if n := strings.Count(s.Text(), "starts wk-1/"); n != 36 {
+		t.Errorf("%d starts of 36 tasks", n)
+	}
+}
+
+// In an outage of the state service no controller tells the load balancer to
+// send users elsewhere; one that the service refuses alone does.
+func TestUpInAnOutage(t *testing.T) {
+	for _, alone := range []bool{false, true} {
+		s := New(36)
+		s.API()
+		fleet(s, 6, 0)
+		for i := 0; i < 20; i++ {
+			s.Submit(5+float64(i), Spec(fmt.Sprintf("wk-%d", i), wire.Array, 4, 1, 20, nil))
+		}
+		s.At(12, func() {
+			if alone {
+				s.Refuse("n1", "state", true)
+			} else {
+				s.State.Outage(8 * time.Second)
+			}
+		})
+		down := map[string]int{}
+		for at := 12.0; at < 20; at += 0.25 {
+			s.At(at, func() {
+				for _, n := range s.all {
+					if !s.Nodes[n].Node.Up() {
+						down[n]++
+					}
+				}
+			})
+		}
+		s.Start()
+		s.Run(20)
+		if alone && (down["n1"] < 24 || down["n0"]+down["n2"] > 0) {
+			t.Errorf("refused alone: not up, in quarters of a second: %v, want only n1, nearly always", down)
+		}
+		if !alone && len(down) > 0 {
+			t.Errorf("in an outage for all: not up, in quarters of a second: %v", down)
+		}
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -216,6 +216,10 @@
 		w.s.after(time.Second, func() { w.serve(method, path, body, reply) })
 		return
 	}
+	if path == "/status" {
+		reply(200, w.body())
+		return
+	}
 	var c wire.Commands
 	if wire.Decode(body, &c) != nil || c.Token == 0 || c.Session == 0 {
 		reply(400, nil)
