--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -640,7 +640,11 @@
 	if p.borrowed > 0 && start > now && p.preempt(w, rooms, need, now, (*Work).borrowed) {
 		return true
 	}
-	if p.tooLate(w, start, now) && p.preempt(w, rooms, need, now, nil) {
+	fetch := time.Duration(0)
+	for r := range best {
+		fetch = max(fetch, p.fetch(r, j))
+	}
+	if p.tooLate(w, start, now, fetch) && p.preempt(w, rooms, need, now, nil) {
 		return true
 	}
 	for r, o := range best {
@@ -667,17 +671,29 @@
 	return zones
 }
 
-// tooLate tells whether starting at the given time misses what is expected of
-// the job. If it does not, stopping others would only cost their work.
-func (p *Part) tooLate(w *Work, start, now time.Duration) bool {
+// tooLate tells whether starting at the given time, and fetching the image then,
+// misses what is expected of the job. If it does not, stopping others would only
+// cost their work. The time follows from estimates, which are often too low; so
+// what waits is not left to them beyond the last moment at which stopping others,
+// who save first, would still be in time. (Gangs used to be let wait for ends
+// that did not come, and stopped others when they were late themselves.)
+func (p *Part) tooLate(w *Work, start, now, fetch time.Duration) bool {
 	j := &w.Rec.Job
 	age := p.h.Wall() - w.Rec.At
-	wait := age + (start - now).Seconds()
+	wait := age + (start - now).Seconds() + fetch.Seconds()
+	save := 0.0
+	for _, o := range p.works() {
+		if o.nplaced > 0 && o.Rec.Job.Rank < j.Rank {
+			save = max(save, o.Rec.Job.Save)
+		}
+	}
+	// A pass may be half a report away, and the word that they have saved.
+	last := age + save + fetch.Seconds() + p.report().Seconds()
 	expected := false
 	for _, o := range p.h.Settings().Deployment.Objectives {
 		if o.Class == j.Class && o.Kind == "wait" {
 			expected = true
-			if wait > o.Within {
+			if wait > o.Within || start > now && last > o.Within {
 				return true
 			}
 		}
--- a/internal/standin/grown_test.go
+++ b/internal/standin/grown_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"curlewspool/internal/settings"
 	"curlewspool/internal/wire"
 )
 
@@ -187,3 +188,35 @@
 	})
 	told(t, s, wire.Done, "wk-2")
 }
+
+// A gang that is to start within 10 s waits for work whose estimates say that it
+// ends sooner than it does: others are stopped, and have saved, before it is
+// late, not once it is.
+func TestGangStopsOthersInTime(t *testing.T) {
+	s := day(t, "gang-in-time", 29, 90, func(s *Sim) {
+		for _, n := range s.all {
+			s.Nodes[n].set.Deployment.Objectives = []settings.Objective{{Kind: "wait", Class: "gang", Within: 10, Share: 0.9}}
+		}
+		fleet(s, 6, 0)
+		s.Overruns = map[string]float64{"class": 6}
+		s.Submit(5, Spec("wk-1", wire.Array, 24, 1, 10, func(x *wire.Submission) { // would end at 16, and does not
+			m, v := 5.0, 2.0
+			x.Mark, x.Stow, x.Rank = &m, &v, text("best_effort")
+		}))
+		s.Submit(11, Spec("wk-9", wire.Gang, 2, 4, 10, func(x *wire.Submission) { x.Trade = text("gang") }))
+	})
+	told(t, s, wire.Done, "wk-9")
+	var submitted, runs float64
+	for _, l := range s.Traced {
+		at := strings.Fields(l)[0]
+		if strings.HasSuffix(l, "wk-9 accepted") {
+			fmt.Sscan(at, &submitted)
+		}
+		if strings.Contains(l, "gang wk-9 runs") {
+			fmt.Sscan(at, &runs)
+		}
+	}
+	if runs == 0 || runs-submitted > 10 {
+		t.Errorf("submitted at %v, ran at %v: want within 10 s", submitted, runs)
+	}
+}
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -83,6 +83,7 @@
 	aborted  map[string]time.Duration
 	told     map[string]string
 	finished map[worker.Task]bool
+	Overruns map[string]float64 // by class: how many times its estimate an array's task runs; 0: about once
 }
 
 // addr is a host's address; those of several clusters must not collide.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -345,7 +345,7 @@
 	if job.Shape == wire.Service {
 		return
 	}
-	left := RunTime(job, t.Index) - t.progress
+	left := time.Duration(float64(RunTime(job, t.Index))*rate(w.s.Overruns[job.Class])) - t.progress
 	if home, whose := w.s.origin(t.Task); home.finished[whose] {
 		left, t.kept = 0, true // its result is there from before
 	}
