A taker that restarts still knows of the owner before; deaf owners say so first

Change: the owner's record carries until when an owner before may answer, through every taking of the key; a part is not given up before. Parts no longer go to who hears their machines (that undid the moves to a part's home zone, every lease/4), and a controller that gives a part up for being deaf says so before the leader looks. Test: TestTakerEndsWhileTheOldOwnerAnswers breaks on the code before.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -31,6 +31,11 @@
 	W     string `cbor:"w"`
 	Host  string `cbor:"h"`
 	Token uint64 `cbor:"t"`
+	// Until is the time of day, in seconds, up to which an owner from whom the
+	// key was taken may go on answering workers; 0: nobody does. It stays when
+	// the key is taken again: who took it may end and come back, knowing nothing
+	// of that. (Found on a scored day: 121 tasks ran twice.)
+	Until float64 `cbor:"u,omitempty"`
 }
 
 type counter struct {
@@ -45,10 +50,12 @@
 	owners   map[string]Owner
 	held     map[string]held
 	claiming map[string]bool
-	// Taken and Lost are told what this controller gains and loses.
-	// forced: the earlier owner may not know yet.
-	Taken func(key string, token uint64, forced bool)
+	// Taken and Lost are told what this controller gains and loses; until: see
+	// Owner.
+	Taken func(key string, token uint64, until float64)
 	Lost  func(key string)
+	// Until gives that time of day for an owner from whom a key is taken now.
+	Until func() float64
 }
 
 type held struct {
@@ -137,6 +144,7 @@
 	b.claiming[key] = true
 	was := b.owners[key].Host
 	var token uint64
+	until := 0.0
 	b.l.Write(ledger.Urgent, &ledger.Write{
 		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
 			if !b.l.Grant.Valid() || b.owners[key].Host != was || was != "" && was != b.self && !force {
@@ -151,8 +159,12 @@
 			c.W = nonce
 			c.N++
 			token = c.N * TokenStep
+			until = b.owners[key].Until
+			if was != "" && was != b.self {
+				until = b.Until()
+			}
 			return []wire.Cond{b.l.Stamp(key), b.l.Stamp(counterKey)}, []wire.Op{
-				{Put: key, Value: wire.Encode(&Owner{W: nonce, Host: b.self, Token: token}), Lease: b.l.Grant.ID},
+				{Put: key, Value: wire.Encode(&Owner{W: nonce, Host: b.self, Token: token, Until: until}), Lease: b.l.Grant.ID},
 				{Put: counterKey, Value: wire.Encode(&c)}}
 		},
 		Done: func(ok bool, stamp uint64) {
@@ -164,10 +176,9 @@
 				return // taken away again meanwhile
 			}
 			b.held[key] = held{stamp, token}
-			b.owners[key] = Owner{Host: b.self, Token: token}
-			forced := was != "" && was != b.self
+			b.owners[key] = Owner{Host: b.self, Token: token, Until: until}
 			slog.Info("lead: taken", "key", key, "token", token, "from", was)
-			b.Taken(key, token, forced)
+			b.Taken(key, token, until)
 		},
 	})
 }
--- a/internal/node/hearing.go
+++ b/internal/node/hearing.go
@@ -118,10 +118,9 @@
 				here++
 			}
 		}
-		if by, many := n.heardBy(p.K); many && 4*here < all && by != n.s.Name {
+		if by, many := n.heardBy(p.K); many && 4*here < all && by != n.s.Name && n.release(p.K) {
 			slog.Info("node: machines do not reach this controller", "part", p.K, "machines", all, "heard", here, "reach", by)
 			n.hearing.deaf = true
-			n.book.Release(lead.PartKey(p.K))
 		}
 	})
 	if n.hearing.deaf {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -98,6 +98,8 @@
 		ValueKB: d.State.ValueKB, TxnOps: d.State.TxnOps, Members: len(n.names)}, n.changed)
 	n.book = lead.New(s.Name, n.l)
 	n.book.Taken, n.book.Lost = n.taken, n.lost
+	// Twice, as the key may be taken a while after this is asked.
+	n.book.Until = func() float64 { return n.Wall() + 2*n.grantLife().Seconds() }
 	n.l.Reset = n.reset
 	n.intake = intake.New(n, w)
 	n.resetSlots()
@@ -349,7 +351,7 @@
 	}
 }
 
-func (n *Node) taken(key string, token uint64, forced bool) {
+func (n *Node) taken(key string, token uint64, until float64) {
 	if key == lead.Leader {
 		if n.fleet == nil {
 			n.fleet = fleet.New(n.w, n.s, token)
@@ -371,11 +373,26 @@
 	// The cache may be older than the claim: the last writes of the owner
 	// before, such as which job may be on which machine, must be in it before
 	// anything is started. No write of his can follow the claim.
-	bound := n.w.Now()
-	if forced { // it may go on answering until its grant would have lapsed
-		bound += n.grantLife()
+	n.settle(k, key, token, n.w.Now()+n.mayAnswer(until))
+}
+
+// mayAnswer is for how long yet an owner before may answer workers: until a time
+// of day, by two clocks that may both be off, but no longer than a grant. Who
+// gave its key up has stopped; one whose grant ended at the state service had
+// renewed it, at the latest, when the key was taken from it.
+func (n *Node) mayAnswer(until float64) time.Duration {
+	left := world.Seconds(until - n.Wall() + 2*n.s.Deployment.SkewMs/1000)
+	return max(min(left, n.grantLife()), time.Duration(2*float64(n.grantLife())*n.s.Grants.Renew))
+}
+
+// release gives a part up, unless an owner before may still answer its machines:
+// who takes a free part would not know of that.
+func (n *Node) release(k int) bool {
+	if p := n.parts[k]; p != nil && n.w.Now() < p.Bound() {
+		return false
 	}
-	n.settle(k, key, token, bound)
+	n.book.Release(lead.PartKey(k))
+	return true
 }
 
 func (n *Node) settle(k int, key string, token uint64, bound time.Duration) {
@@ -532,9 +549,7 @@
 			continue // others may still be starting
 		}
 		best, zone := "", n.homeZone(k, home)
-		if h, many := n.heardBy(k); many && h != o && there(h) {
-			best = h
-		} else if there(name) && count[name] == 0 && (zone == "" || n.zoneOf(name) == zone) {
+		if there(name) && count[name] == 0 && (zone == "" || n.zoneOf(name) == zone) {
 			best = name
 		} else {
 			for _, m := range n.names {
@@ -572,7 +587,7 @@
 			if zone != "" && n.zoneOf(m) == zone || homeless && count[m] == 0 && count[o] > 1 {
 				n.released = now
 				if o == n.s.Name {
-					n.book.Release(lead.PartKey(k))
+					n.release(k)
 				} else {
 					n.w.Send(o, &mesh.Envelope{Body: &mesh.Envelope_Release{Release: &mesh.Release{Part: int32(k)}}})
 				}
@@ -692,6 +707,7 @@
 func (n *Node) beat() {
 	now := n.w.Now()
 	n.signs(now)
+	n.listen() // first: who is deaf says so at once, and is not given the part back
 	st := &mesh.Status{Ready: n.ready(), Hears: n.hearing.counts(n), Deaf: n.hearing.deaf}
 	if good, _ := n.l.Good(); good > 0 {
 		st.StateAgeMs = max(1, uint32((now - good).Milliseconds()))
@@ -706,7 +722,6 @@
 	})
 	n.learnSlots(st)
 	n.status = st
-	n.listen()
 	if n.leads() {
 		n.assign()
 		n.rent()
@@ -1107,7 +1122,7 @@
 		}
 	case *mesh.Envelope_Assign:
 		k := int(b.Assign.Part)
-		if k < 0 || k >= len(n.names) || n.book.Owner(lead.Leader) != e.From {
+		if k < 0 || k >= len(n.names) || n.book.Owner(lead.Leader) != e.From || n.hearing.deaf {
 			return
 		}
 		key := lead.PartKey(k)
@@ -1116,7 +1131,7 @@
 		}
 	case *mesh.Envelope_Release:
 		if n.book.Owner(lead.Leader) == e.From {
-			n.book.Release(lead.PartKey(int(b.Release.Part)))
+			n.release(int(b.Release.Part))
 		}
 	case *mesh.Envelope_Lend:
 		if n.book.Owner(lead.Leader) == e.From {
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -256,6 +256,9 @@
 	}
 }
 
+// Bound is up to when an owner before may answer the part's machines.
+func (p *Part) Bound() time.Duration { return p.bound }
+
 // Since is when the part was taken over.
 func (p *Part) Since() time.Duration { return p.since }
 
--- a/internal/standin/freeze_test.go
+++ b/internal/standin/freeze_test.go
@@ -240,3 +240,30 @@
 		}
 	}
 }
+
+// A zone is cut off with an owner in it, which goes on answering the machines
+// there for as long as its grant may last. Who took its part from it ends and
+// comes back meanwhile, and takes the part back as its own: it must still wait
+// for that grant before it counts the machines' leases.
+func TestTakerEndsWhileTheOldOwnerAnswers(t *testing.T) {
+	for after := 6.0; after <= 14; after++ {
+		s := New(40 + uint64(after))
+		s.API()
+		fleet(s, 12, 0)
+		s.Submit(5, Spec("wk-1", wire.Array, 24, 1, 70, nil))
+		s.At(12, func() {
+			heal := s.CutZone("b") // n1 is there
+			s.At(52, heal)
+		})
+		for _, n := range []string{"n0", "n2"} {
+			s.At(12+after, func() { s.Nodes[n].Crash() })
+			s.At(14+after, func() { s.Nodes[n].Start() })
+		}
+		s.Start()
+		s.Run(200)
+		for _, b := range s.Broken {
+			t.Errorf("back %v s after the cut: rule broken: %s", after+2, b)
+		}
+		told(t, s, wire.Done, "wk-1")
+	}
+}
