--- a/cmd/curlew/look.go
+++ b/cmd/curlew/look.go
@@ -92,11 +92,12 @@
 	waitingDesc = prometheus.NewDesc("curlewspool_waiting_jobs", "Jobs of its parts that wait", []string{"controller"}, nil)
 	awayDesc    = prometheus.NewDesc("curlewspool_federation_away", "Chunks that are at partners", []string{"controller", "partner"}, nil)
 	borrowDesc  = prometheus.NewDesc("curlewspool_federation_borrowed", "Loans that are here", []string{"controller"}, nil)
+	submitDesc  = prometheus.NewDesc("curlewspool_submission_seconds", "Accepted submissions, by where their time went, since the process began", []string{"controller", "part"}, nil)
 	loanDesc    = prometheus.NewDesc("curlewspool_federation_events_total", "Loans by what became of them, as counted by this process", []string{"controller", "what"}, nil)
 )
 
 func (k *collector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{upDesc, liveDesc, machineDesc, waitingDesc, awayDesc, borrowDesc, loanDesc} {
+	for _, d := range []*prometheus.Desc{upDesc, liveDesc, machineDesc, waitingDesc, submitDesc, awayDesc, borrowDesc, loanDesc} {
 		ch <- d
 	}
 }
@@ -118,6 +119,10 @@
 		gauge(liveDesc, float64(s.Jobs), a)
 		gauge(machineDesc, float64(s.Machines), a)
 		gauge(waitingDesc, float64(len(s.Waiting)), a)
+		for name, h := range s.Submits.Parts() {
+			upTo, all := h.Buckets()
+			ch <- prometheus.MustNewConstHistogram(submitDesc, all, h.Sum, upTo, a, name)
+		}
 		f := s.Federation
 		if f == nil {
 			continue
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -43,8 +43,12 @@
 
 	asked  []*lookup
 	asking bool
+	times  Times
 }
 
+// Times of the submissions accepted so far.
+func (in *Intake) Times() *Times { return &in.times }
+
 type lookup struct {
 	id    string
 	tries int
@@ -93,8 +97,9 @@
 	return s
 }
 
-// Submit handles POST /v2/runs.
-func (in *Intake) Submit(body []byte, reply Reply) {
+// Submit handles POST /v2/runs; queued is how long the request waited for the
+// owner's loop.
+func (in *Intake) Submit(body []byte, queued time.Duration, reply Reply) {
 	var s wire.Submission
 	bad := ""
 	var job *wire.Job
@@ -155,9 +160,10 @@
 		reply(429, &wire.Problem{Error: "overloaded"}, 2*pause)
 		return
 	}
-	at := in.h.Wall()
+	at, st := in.h.Wall(), stamps{queued: queued, came: in.w.Now()}
 	in.h.Plan(job, func(rank, chunk int, parts []int) {
-		in.store(&part.JobRecord{Job: *job, At: at, Rank: rank, Chunk: chunk, Parts: parts}, reply)
+		st.chosen = in.w.Now()
+		in.store(&st, &part.JobRecord{Job: *job, At: at, Rank: rank, Chunk: chunk, Parts: parts}, reply)
 	})
 }
 
@@ -195,7 +201,7 @@
 	return "fits no allowed machine type"
 }
 
-func (in *Intake) store(rec *part.JobRecord, reply Reply) {
+func (in *Intake) store(st *stamps, rec *part.JobRecord, reply Reply) {
 	id := rec.Job.ID
 	l := in.h.Ledger()
 	answered := false
@@ -217,6 +223,7 @@
 				return nil, nil
 			}
 			rec.W = nonce
+			st.sentAt = in.w.Now()
 			return []wire.Cond{{Key: part.JobKey(id)}, {Key: part.FinalKey(id)}},
 				[]wire.Op{{Put: part.JobKey(id), Value: wire.Encode(rec)}}
 		},
@@ -224,6 +231,7 @@
 			if ok {
 				slog.Debug("intake: accepted", "job", id, "rank", rec.Rank, "parts", rec.Parts)
 				in.h.News(id)
+				in.times.accepted(*st, in.w.Now())
 				once(201, &wire.JobState{ID: id, Status: wire.Pending}, 0)
 				return
 			}
--- a/internal/node/line.go
+++ b/internal/node/line.go
@@ -74,7 +74,9 @@
 	open := max(16, s.Deployment.Limits.Sockets/16)
 	app := fiber.New(fiber.Config{DisableStartupMessage: true, BodyLimit: 2 * wire.MaxBody, Concurrency: open, ReadTimeout: 10 * time.Second,
 		WriteTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second, DisableDefaultDate: true,
-		ErrorHandler: func(c *fiber.Ctx, err error) error { return send(c, answer{400, &wire.Problem{Error: err.Error()}, 0}) }})
+		ErrorHandler: func(c *fiber.Ctx, err error) error {
+			return send(c, answer{400, &wire.Problem{Error: err.Error()}, 0, false})
+		}})
 	app.Post("/v1/*", p.serve)
 	go func() {
 		if err := app.Listener(keys.Listen(ln, ring.Server(), open)); err != nil {
@@ -90,10 +92,10 @@
 	if err != nil {
 		p.refused.Do(func() { slog.Info("federation: request refused", "addr", c.Context().RemoteAddr(), "why", err) })
 		c.Context().SetConnectionClose()
-		return send(c, answer{403, &wire.Problem{Error: "not a partner: " + err.Error()}, 0})
+		return send(c, answer{403, &wire.Problem{Error: "not a partner: " + err.Error()}, 0, false})
 	}
 	if !p.limits[from].Allow() {
-		return send(c, answer{429, &wire.Problem{Error: "too many requests"}, 1})
+		return send(c, answer{429, &wire.Problem{Error: "too many requests"}, 1, false})
 	}
 	path, body := strings.Clone(c.Path()), bytes.Clone(c.Body())
 	return p.l.do(c, func(r func(answer)) { p.l.node.PartnerAsks(from, path, body, replier(r)) })
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -158,6 +158,7 @@
 	status int
 	body   any
 	retry  int
+	last   bool // the connection is closed after it
 }
 
 // serve answers users and workers.
@@ -181,53 +182,63 @@
 			if status == fiber.StatusRequestEntityTooLarge {
 				status = fiber.StatusBadRequest
 			}
-			return send(c, answer{status, &wire.Problem{Error: err.Error()}, 0})
+			return send(c, answer{status, &wire.Problem{Error: err.Error()}, 0, false})
 		},
 	})
 	app.Get("/up", func(c *fiber.Ctx) error {
 		return l.do(c, func(r func(answer)) {
 			if l.node.Up() {
-				r(answer{200, map[string]string{"status": "up"}, 0})
+				r(answer{200, map[string]string{"status": "up"}, 0, false})
 			} else {
-				r(answer{503, &wire.Problem{Error: "not ready"}, 1})
+				r(answer{503, &wire.Problem{Error: "not ready"}, 1, false})
 			}
 		})
 	})
 	app.Post("/v1/report", func(c *fiber.Ctx) error {
 		rep := &wire.Report{}
 		if err := wire.Decode(c.Body(), rep); err != nil {
-			return send(c, answer{400, &wire.Problem{Error: "not a report"}, 0})
+			return send(c, answer{400, &wire.Problem{Error: "not a report"}, 0, false})
 		}
 		return l.do(c, func(r func(answer)) {
-			l.node.Report(rep, func(status int, body any) { r(answer{status, body, 0}) })
+			l.node.Report(rep, func(status int, body any) { r(answer{status, body, 0, false}) })
 		})
 	})
 	app.Post("/v2/runs", func(c *fiber.Ctx) error {
 		body := append([]byte(nil), c.Body()...)
-		return l.do(c, func(r func(answer)) { l.node.Submit(body, replier(r)) })
+		came := time.Now()
+		return l.do(c, func(r func(answer)) { l.node.Submit(body, time.Since(came), l.user(r)) })
 	})
 	app.Get("/v2/runs/:id", func(c *fiber.Ctx) error {
 		id := string(append([]byte(nil), c.Params("id")...))
-		return l.do(c, func(r func(answer)) { l.node.Poll(id, replier(r)) })
+		return l.do(c, func(r func(answer)) { l.node.Poll(id, l.user(r)) })
 	})
 	app.Post("/v2/runs/:id/abort", func(c *fiber.Ctx) error {
 		id := string(append([]byte(nil), c.Params("id")...))
-		return l.do(c, func(r func(answer)) { l.node.Abort(id, replier(r)) })
+		return l.do(c, func(r func(answer)) { l.node.Abort(id, l.user(r)) })
 	})
 	app.Get("/debug/state", func(c *fiber.Ctx) error {
-		return l.do(c, func(r func(answer)) { r(answer{200, l.node.Describe(), 0}) })
+		return l.do(c, func(r func(answer)) { r(answer{200, l.node.Describe(), 0, false}) })
 	})
 	return app.Listener(ln)
 }
 
+// user is a replier for users. Their connections are not moved by the load
+// balancer: one that cannot serve them closes them, so that what is tried again
+// reaches another controller.
+func (l *Loop) user(r func(answer)) func(int, any, int) {
+	return func(status int, body any, retry int) {
+		r(answer{status, body, retry, status == fiber.StatusServiceUnavailable && !l.node.Up()})
+	}
+}
+
 func replier(r func(answer)) func(int, any, int) {
-	return func(status int, body any, retry int) { r(answer{status, body, retry}) }
+	return func(status int, body any, retry int) { r(answer{status: status, body: body, retry: retry}) }
 }
 
 // do runs a command on the owner's goroutine and waits for its answer.
 func (l *Loop) do(c *fiber.Ctx, f func(r func(answer))) error {
 	if len(l.queue) > waiting/2 {
-		return send(c, answer{503, &wire.Problem{Error: "overloaded"}, 1})
+		return send(c, answer{503, &wire.Problem{Error: "overloaded"}, 1, false})
 	}
 	ch := make(chan answer, 1)
 	l.queue <- func() {
@@ -244,7 +255,7 @@
 	case a := <-ch:
 		return send(c, a)
 	case <-t.C:
-		return send(c, answer{503, &wire.Problem{Error: "slow"}, 1})
+		return send(c, answer{503, &wire.Problem{Error: "slow"}, 1, false})
 	}
 }
 
@@ -252,6 +263,9 @@
 	if a.retry > 0 {
 		c.Set("Retry-After", strconv.Itoa(a.retry))
 	}
+	if a.last {
+		c.Context().SetConnectionClose()
+	}
 	c.Set("Content-Type", "application/cbor")
 	return c.Status(a.status).Send(wire.Encode(a.body))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -528,9 +528,11 @@
 func (n *Node) assign() {
 	now := n.w.Now()
 	count := map[string]int{}
+	crowd := n.crowds()
 	for k := range n.names {
 		if o := n.book.Owner(lead.PartKey(k)); o != "" {
 			count[o]++
+			crowd.machines[o] += crowd.sizes[k]
 		}
 	}
 	there := func(name string) bool {
@@ -549,11 +551,11 @@
 			continue // others may still be starting
 		}
 		best, zone := "", n.homeZone(k, home)
-		if there(name) && count[name] == 0 && (zone == "" || n.zoneOf(name) == zone) {
+		if there(name) && count[name] == 0 && (zone == "" || n.zoneOf(name) == zone) && crowd.fits(name, k) {
 			best = name
 		} else {
 			for _, m := range n.names {
-				if m != o && there(m) && (best == "" || n.fitter(m, best, zone, count)) {
+				if m != o && there(m) && (best == "" || crowd.fits(m, k) && !crowd.fits(best, k) || crowd.fits(m, k) == crowd.fits(best, k) && n.fitter(m, best, zone, count)) {
 					best = m
 				}
 			}
@@ -562,6 +564,7 @@
 			continue
 		}
 		count[best]++
+		crowd.machines[best] += crowd.sizes[k]
 		slog.Info("node: part is assigned", "part", k, "to", best, "from", o)
 		if best == n.s.Name {
 			n.book.Claim(lead.PartKey(k), o != "")
@@ -576,15 +579,17 @@
 	// whose machines are mostly in one zone belongs to a member there.
 	for k := range n.names {
 		o, zone := n.book.Owner(lead.PartKey(k)), n.homeZone(k, farHome)
-		if o == "" || !there(o) || zone != "" && n.zoneOf(o) == zone {
+		if o == "" || !there(o) || zone != "" && n.zoneOf(o) == zone && crowd.machines[o] <= crowd.most {
 			continue
 		}
 		homeless := n.homeZone(k, home) == ""
+		crowded := crowd.machines[o] > crowd.most && count[o] > 1
 		for _, m := range n.names {
 			if m == o || !there(m) || now-n.since(m) < n.lease()/4 {
 				continue
 			}
-			if zone != "" && n.zoneOf(m) == zone || homeless && count[m] == 0 && count[o] > 1 {
+			fits := crowd.fits(m, k)
+			if zone != "" && n.zoneOf(m) == zone && n.zoneOf(o) != zone && fits || homeless && count[m] == 0 && count[o] > 1 || crowded && fits {
 				n.released = now
 				if o == n.s.Name {
 					n.release(k)
@@ -597,6 +602,28 @@
 	}
 }
 
+// crowds are the machines of each part and owner, and how many an owner may have
+// before its zone counts for less than its sockets: each machine holds one, and
+// another while it is ordered directly; a quarter is users'.
+type crowds struct {
+	sizes    []int
+	machines map[string]int
+	most     int
+}
+
+// fits: the member may have the part as well.
+func (c *crowds) fits(name string, k int) bool { return c.machines[name]+c.sizes[k] <= c.most }
+
+func (n *Node) crowds() crowds {
+	c := crowds{sizes: make([]int, len(n.names)), machines: map[string]int{}, most: n.s.Deployment.Limits.Sockets / 2}
+	for _, m := range n.machines {
+		if m.Part >= 0 && m.Part < len(c.sizes) {
+			c.sizes[m.Part]++
+		}
+	}
+	return c
+}
+
 // since is when a member became ready, as far as is known here.
 func (n *Node) since(name string) time.Duration {
 	if p := n.peers[name]; p != nil {
@@ -1246,9 +1273,12 @@
 
 // --- users ---
 
-func (n *Node) Submit(body []byte, reply intake.Reply) { n.intake.Submit(body, reply) }
-func (n *Node) Poll(id string, reply intake.Reply)     { n.intake.Poll(id, reply) }
-func (n *Node) Abort(id string, reply intake.Reply)    { n.intake.Abort(id, reply) }
+// Submit takes a submission that waited so long for the loop.
+func (n *Node) Submit(body []byte, queued time.Duration, reply intake.Reply) {
+	n.intake.Submit(body, queued, reply)
+}
+func (n *Node) Poll(id string, reply intake.Reply)  { n.intake.Poll(id, reply) }
+func (n *Node) Abort(id string, reply intake.Reply) { n.intake.Abort(id, reply) }
 
 // Reserved: with partners, some ids belong to what is borrowed from them.
 func (n *Node) Reserved(id string) bool { return n.desk != nil && federation.Reserved(id) }
@@ -1259,9 +1289,18 @@
 // users would find none when the service is back. (Seen on days of the fleet's
 // size: 430 requests found no healthy controller, most of them after an outage.)
 // So it takes a peer that was answered after this one was refused.
+//
+// One that has just started and cannot act yet is up only while it knows of no
+// peer that can: when all start at once, the balancer then has them back when
+// the first can act, not two probes later.
 func (n *Node) Up() bool {
 	if !n.l.Loaded() || len(n.types) == 0 {
-		return false
+		for _, p := range n.peers {
+			if p.good > 0 {
+				return false
+			}
+		}
+		return true
 	}
 	_, bad := n.l.Good()
 	if !n.l.Down() || bad == 0 {
@@ -1285,6 +1324,7 @@
 	Jobs     int               `cbor:"jobs" json:"live_jobs"`
 	Machines int               `cbor:"machines" json:"machines"`
 	Intake   string            `cbor:"intake" json:"intake"`
+	Submits  intake.Times      `cbor:"submits" json:"submits"`
 	// Federation is nil without partners.
 	Federation *federation.View `cbor:"federation,omitempty" json:"federation,omitempty"`
 }
@@ -1300,7 +1340,7 @@
 // Describe tells an operator what this controller owns and why jobs wait.
 func (n *Node) Describe() *State {
 	s := &State{Host: n.s.Name, Leader: n.book.Owner(lead.Leader), Ready: n.ready(), Parts: []PartState{}, Waiting: map[string]string{},
-		Jobs: len(n.jobs), Machines: len(n.machines), Intake: n.intake.String()}
+		Jobs: len(n.jobs), Machines: len(n.machines), Intake: n.intake.String(), Submits: *n.intake.Times()}
 	n.eachPart(func(p *part.Part) {
 		s.Parts = append(s.Parts, PartState{p.K, p.Token, len(p.Machines), len(p.Works)})
 		for id, why := range p.Waiting() {
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -36,7 +36,7 @@
 					h.Node.Report(r, reply)
 				}
 			case method == "POST" && path == "/v2/runs":
-				h.Node.Submit(body, user)
+				h.Node.Submit(body, 0, user)
 			case method == "POST":
 				h.Node.Abort(strings.TrimSuffix(strings.TrimPrefix(path, "/v2/runs/"), "/abort"), user)
 			default:
