--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -467,7 +467,18 @@
 		// process is restarted, which then takes its own back.
 		limit = limit * 7 / 10
 	}
-	return now-max(p.ready, p.sign) > limit && n.ready() && now-n.goodFor > limit
+	if !n.ready() {
+		return false
+	}
+	// It says itself that the state service has not answered it for long, while
+	// this controller is answered, and has been for longer than others take to
+	// find that an outage is over. Waiting as for one that is not heard would
+	// leave its part still for half a minute after an outage.
+	if p.status != nil && n.heard(name) && !p.status.Ready && p.status.StateAgeMs > 0 &&
+		now-p.good > n.lease()/4 && now-n.goodFor > n.lease()/8 {
+		return true
+	}
+	return now-max(p.ready, p.sign) > limit && now-n.goodFor > limit
 }
 
 // heard tells whether a member's messages arrive.
--- a/internal/standin/freeze_test.go
+++ b/internal/standin/freeze_test.go
@@ -267,3 +267,33 @@
 		told(t, s, wire.Done, "wk-1")
 	}
 }
+
+// The state service refuses one controller alone, and then everybody for a
+// while. When it is back for the others, they know from what that one says of
+// itself that it still is not answered, and take its part within lease_s/4 of the
+// outage's end rather than after as long as one that is not heard.
+func TestRefusedAloneThroughAnOutage(t *testing.T) {
+	s := New(37)
+	s.API()
+	fleet(s, 6, 0)
+	s.Submit(5, Spec("wk-1", wire.Array, 24, 1, 30, nil))
+	s.At(11, func() { s.Refuse("n1", "state", true) })
+	s.At(14, func() { s.State.Outage(8 * time.Second) })
+	s.At(60, func() { s.Refuse("n1", "state", false) })
+	s.Submit(16, Spec("wk-2", wire.Array, 6, 1, 5, nil))
+	owned := 0
+	s.At(22+14.0/4, func() {
+		for _, n := range []string{"n0", "n2"} {
+			owned += len(s.Nodes[n].Node.Describe().Parts)
+		}
+	})
+	s.Start()
+	s.Run(120)
+	for _, b := range s.Broken {
+		t.Errorf("rule broken: %s", b)
+	}
+	if owned != 3 {
+		t.Errorf("a quarter of a lease after the outage the others own %d of 3 parts", owned)
+	}
+	told(t, s, wire.Done, "wk-1", "wk-2")
+}
