--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -600,7 +600,10 @@
 				continue
 			}
 			fits := crowd.fits(m, k)
-			if zone != "" && n.zoneOf(m) == zone && n.zoneOf(o) != zone && fits || homeless && count[m] == 0 && count[o] > 1 || crowded && fits {
+			// Back to its zone only with room to spare, or it would come and go
+			// with each machine.
+			spare := 4*(crowd.machines[m]+crowd.sizes[k]) <= 3*crowd.most
+			if zone != "" && n.zoneOf(m) == zone && n.zoneOf(o) != zone && spare || homeless && count[m] == 0 && count[o] > 1 || crowded && fits {
 				n.released = now
 				if o == n.s.Name {
 					n.release(k)
--- a/internal/standin/federation_test.go
+++ b/internal/standin/federation_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"curlewspool/internal/federation"
 	"curlewspool/internal/settings"
 	"curlewspool/internal/wire"
 )
@@ -289,6 +290,55 @@
 	}
 }
 
+// Who asks at each step of a hand-over, or the leader of the cluster that is
+// asked, stands still at that moment, for less than the term and for longer,
+// before or after the request has left.
+func TestFrozenAtHandOver(t *testing.T) {
+	for i, step := range []string{federation.PathOffers, federation.PathLoans, federation.PathStates, federation.PathRenewals} {
+		for variant := 0; variant < 8; variant++ {
+			holds, asked, d := variant&1 > 0, variant&2 > 0, 6*time.Second
+			if variant&4 > 0 {
+				d = 30 * time.Second
+			}
+			what := fmt.Sprintf("%s, for %v, held %v, the other side %v", step, d, holds, asked)
+			var ids []string
+			done := false
+			w, e := quietly(t, what, uint64(200+8*i+variant), 250, func(w, e *Sim) {
+				ids = busy(w, e)
+				w.OnCall = func(from, _, path string) {
+					if done || !strings.HasSuffix(path, step) {
+						return
+					}
+					who := w.hosts[from]
+					if asked {
+						other := e
+						if who.s == e {
+							other = w
+						}
+						who = other.Nodes[other.Leader()]
+					}
+					if who != nil {
+						done = true
+						who.Freeze(d, holds)
+					}
+				}
+			})
+			if !done {
+				t.Errorf("%s: the step never came", what)
+			}
+			told(t, w, wire.Done, ids...)
+			for _, s := range []*Sim{w, e} {
+				if got := s.Loans(); got != s.Name+": 0 lent, 0 borrowed" {
+					t.Errorf("at the end %s, want none", got)
+				}
+			}
+			if t.Failed() {
+				t.Fatal(what)
+			}
+		}
+	}
+}
+
 // A job is cancelled at each step, and the partner cannot be told: within
 // cancel_s nothing of it is on any machine (the stand-in's users look).
 func TestAbortAtEachStep(t *testing.T) {
--- a/internal/standin/partners.go
+++ b/internal/standin/partners.go
@@ -34,13 +34,13 @@
 			f.Partners = []settings.Partner{p}
 			h.set.Federation = f
 			h.set.Dispatch.ChunksPerPart, h.set.Rent.OwnIdleBoots = 2, 100
+			n.hosts[f.Listen] = h
 			n.serve[f.Listen] = func(_, path string, body []byte, reply func(int, any)) {
-				if !h.up {
-					return
-				}
 				// The caller's certificate names it; here the path does.
 				from, rest, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-				h.Node.PartnerAsks(from, "/"+rest, body, func(status int, b any, _ int) { reply(status, b) })
+				h.step(h.life, func() {
+					h.Node.PartnerAsks(from, "/"+rest, body, func(status int, b any, _ int) { reply(status, b) })
+				})
 			}
 		}
 		s.API()
