Ledger: read whether a transaction with a late answer is stored; ask no mute leader

An answer later than four times the usual is looked for in the store: what is stored is known, anything else concludes nothing. A question to the leader waits a twelfth of a heartbeat, and none is asked that left one unanswered since it was last heard. Tried first: a second copy of the transaction; it only met its own conditions, as the first had been applied.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -62,6 +62,7 @@
 	budgetAt time.Duration
 	pauseTo  time.Duration
 	pumping  bool
+	answers  answers
 	nonce    string
 	nonces   int
 
@@ -389,6 +390,7 @@
 	txn    *wire.Txn
 	conds  [][]wire.Cond // each write's
 	doubt  bool          // an earlier send may have been, or yet be, applied
+	over   bool          // seen to be applied before its answer came
 }
 
 func (l *Ledger) pump() {
@@ -496,9 +498,19 @@
 }
 
 func (l *Ledger) send(b *batch) {
-	out := &wire.TxnResult{}
+	if b.over {
+		return
+	}
+	out, sent, answered := &wire.TxnResult{}, l.w.Now(), false
 	l.w.Call(l.addr, "POST", "/multi", b.txn, out, timeout, func(status int) {
+		answered = true
 		l.note(status)
+		if status == 200 {
+			l.answers.add(l.w.Now() - sent)
+		}
+		if b.over {
+			return
+		}
 		switch status {
 		case 200:
 			l.applied(b, out.Ledger)
@@ -539,27 +551,45 @@
 			l.w.After(l.retry(), func() { l.send(b) })
 		}
 	})
+	if d, ok := l.answers.late(); ok && b.put() != "" {
+		l.w.After(d, func() {
+			if !answered && !b.over {
+				l.look(b)
+			}
+		})
+	}
+}
+
+// put is a key that the batch writes; none if it only deletes.
+func (b *batch) put() string {
+	i := slices.IndexFunc(b.txn.Apply, func(o wire.Op) bool { return o.Put != "" })
+	if i < 0 {
+		return ""
+	}
+	return b.txn.Apply[i].Put
+}
+
+// read tells whether what the batch writes is stored; status 0, 429 and 503: not
+// known. A value that is not the batch's proves nothing while it is under way.
+func (l *Ledger) read(b *batch, done func(status int, stored bool, stamp uint64)) {
+	l.Fetch(b.put(), func(status int, value []byte, stamp uint64) {
+		var v struct {
+			W string `cbor:"w"`
+		}
+		done(status, status == 200 && wire.Decode(value, &v) == nil && v.W == b.nonce, stamp)
+	})
 }
 
 // settle finds out whether a doubtful batch was applied.
 func (l *Ledger) settle(b *batch) {
-	key := ""
-	for _, o := range b.txn.Apply {
-		if o.Put != "" {
-			key = o.Put
-			break
-		}
-	}
-	if key == "" {
+	if b.put() == "" {
 		l.conflict(b, nil)
 		return
 	}
-	l.Fetch(key, func(status int, value []byte, stamp uint64) {
-		var v struct {
-			W string `cbor:"w"`
-		}
+	l.read(b, func(status int, stored bool, stamp uint64) {
 		switch {
-		case status == 200 && wire.Decode(value, &v) == nil && v.W == b.nonce:
+		case b.over:
+		case stored:
 			l.applied(b, stamp)
 		case status == 200 || status == 404:
 			l.conflict(b, nil)
@@ -570,6 +600,7 @@
 }
 
 func (l *Ledger) applied(b *batch, stamp uint64) {
+	b.over = true
 	l.inFlight--
 	for _, o := range b.txn.Apply {
 		key := o.Put + o.Delete
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,22 +16,41 @@
 	later []func()
 	sent  []wire.Txn
 	reply func(t *wire.Txn) (int, wire.TxnResult)
+	clock time.Duration
+	slow  bool // answers to transactions wait in held
+	held  []func()
+	looks int // keys read
+	read  func(key string) (int, wire.Entry)
 }
 
-func (w *service) Now() time.Duration              { return time.Minute }
+func (w *service) Now() time.Duration              { return time.Minute + w.clock }
 func (w *service) Wall() time.Time                 { return time.Unix(1_700_000_000, 0) }
 func (w *service) Rand() *rand.Rand                { return rand.New(rand.NewPCG(1, 2)) }
 func (w *service) After(_ time.Duration, f func()) { w.later = append(w.later, f) }
 func (w *service) Send(string, *mesh.Envelope)     {}
 func (w *service) Call(_, _, path string, in, out any, _ time.Duration, done func(int)) {
+	if key, ok := strings.CutPrefix(path, "/store/"); ok && w.read != nil {
+		w.looks++
+		status, e := w.read(key)
+		*out.(*wire.Entry) = e
+		done(status)
+	}
 	t, ok := in.(*wire.Txn)
 	if !ok || path != "/multi" {
 		return
 	}
 	w.sent = append(w.sent, *t)
-	status, res := w.reply(t)
-	*out.(*wire.TxnResult) = res
-	done(status)
+	answer := func() {
+		status, res := w.reply(t)
+		*out.(*wire.TxnResult) = res
+		done(status)
+	}
+	if w.slow {
+		w.held = append(w.held, answer)
+		return
+	}
+	w.clock += 5 * time.Millisecond
+	answer()
 }
 
 func (w *service) settle() {
@@ -96,3 +116,54 @@
 		t.Errorf("%d of 4 were stored, in transactions of %v changes, want 5, 1 and 4", good, sizes)
 	}
 }
+
+// A state service that applies at once and answers late: what is stored is read,
+// and the answer, whatever it says, tells nothing more. While the key holds
+// another's value nothing is concluded, and the answer decides.
+func TestLateAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		mine   bool // the key shows this write
+		answer int  // that comes in the end
+		before []bool
+		after  []bool // what the writer was told, before the answer and after it
+	}{
+		{"applied", true, 200, []bool{true}, []bool{true}},
+		{"applied, and the answer is lost", true, 0, []bool{true}, []bool{true}},
+		{"not applied yet", false, 200, nil, []bool{true}},
+	} {
+		w, l := open(func(*wire.Txn) (int, wire.TxnResult) { return c.answer, wire.TxnResult{Ledger: 8} })
+		l.answers.add(5 * time.Millisecond)
+		w.slow = true
+		nonce, told := "", []bool(nil)
+		w.read = func(string) (int, wire.Entry) {
+			who := "another"
+			if c.mine {
+				who = nonce
+			}
+			return 200, wire.Entry{Value: wire.Encode(map[string]string{"w": who}), Stamp: 7}
+		}
+		l.Write(Urgent, &Write{
+			Build: func(n string) ([]wire.Cond, []wire.Op) {
+				nonce = n
+				return []wire.Cond{{Key: "d/1"}}, []wire.Op{{Put: "d/1", Value: wire.Encode(map[string]string{"w": n})}}
+			},
+			Done: func(ok bool, _ uint64) { told = append(told, ok) },
+		})
+		w.settle()
+		if !slices.Equal(told, c.before) || w.looks != 1 {
+			t.Errorf("%s: before the answer the writer was told %v after %d looks, want %v after one", c.name, told, w.looks, c.before)
+		}
+		w.slow = false
+		for _, f := range w.held {
+			f()
+		}
+		w.settle()
+		if !slices.Equal(told, c.after) || len(w.sent) != 1 {
+			t.Errorf("%s: after the answer %v in %d sends, want %v in one", c.name, told, len(w.sent), c.after)
+		}
+		if l.inFlight != 0 {
+			t.Errorf("%s: %d batches are counted as under way, want none", c.name, l.inFlight)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 	ready  time.Duration // of its latest status that said ready
 	good   time.Duration // the latest moment at which the state service is known to have answered it
 	sign   time.Duration // of its latest sign of life in the state service
+	mute   bool          // it left a question unanswered and has said nothing since
 	status *mesh.Status
 }
 
@@ -1092,9 +1093,12 @@
 	}
 	o := n.book.Owner(lead.Leader)
 	// Without a leader, or with a slow one, this controller chooses by what all
-	// owners told it last, so that users need not wait for an election.
+	// owners told it last, so that users need not wait for an election. One
+	// submission at the most waits for a leader that is gone: the next ones do not
+	// ask it until it is heard again.
 	alone := func() { done(n.choose(j)) }
-	if o == "" || n.peers[o] == nil || !n.heard(o) {
+	p := n.peers[o]
+	if p == nil || !n.heard(o) || p.mute {
 		alone()
 		return
 	}
@@ -1108,9 +1112,12 @@
 		done(int(a.Rank), int(a.Chunk), parts)
 	}
 	n.w.Send(o, &mesh.Envelope{Body: &mesh.Envelope_Ask{Ask: &mesh.Ask{Id: id, Job: wire.Encode(j)}}})
-	n.w.After(n.heartbeat()/3, func() {
+	// Answers come within some milliseconds. (At a third of a heartbeat, 220 ms,
+	// the wait alone was longer than users of 200 ms allow for all.)
+	n.w.After(n.heartbeat()/12, func() {
 		if n.asks[id] != nil {
 			delete(n.asks, id)
+			p.mute = true
 			alone()
 		}
 	})
@@ -1132,6 +1139,7 @@
 		return
 	}
 	now := n.w.Now()
+	p.mute = false
 	switch b := e.Body.(type) {
 	case *mesh.Envelope_Status:
 		p.heard, p.status = now, b.Status
