--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -416,7 +416,9 @@
 				price := t.Price
 				if spot {
 					price = t.Spot
-				} else if g.Job.Spot && all.lacks(t.Boot) <= 0 {
+				} else if g.Job.Spot && all.lacks(t.Boot) <= 0 && (g.Job.Shape != wire.Gang || g.Waited < f.s.Rent.LateBoots*t.Boot) {
+					// There is enough in all. (A gang may need it in one zone, which
+					// the sum does not show: it would wait for ever.)
 					continue
 				}
 				full := t.Fits(g.Job, math.MaxInt32)
--- a/internal/node/federation.go
+++ b/internal/node/federation.go
@@ -159,24 +159,13 @@
 	room := make([]int, len(n.names))
 	for _, s := range n.statuses() {
 		for _, p := range s.Parts {
-			all, zone := 0, map[string]int{}
+			zone := map[string]int{}
 			for _, f := range p.Free {
 				if !wanted[f.Type] {
-					k := part.RoomFor(n, j, f)
-					all += k
-					zone[f.Zone] += k
-				}
-			}
-			if j.OneZone || j.Spread {
-				all = 0
-				for _, k := range zone {
-					if j.OneZone {
-						all = max(all, k)
-					} else {
-						all += min(k, (j.Tasks+1)/2)
-					}
+					zone[f.Zone] += part.RoomFor(n, j, f)
 				}
 			}
+			all := part.Holds(j, zone)
 			if k := int(p.Part); k >= 0 && k < len(room) {
 				room[k] = max(room[k], all)
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -915,16 +915,27 @@
 			}
 		}
 	}
+	// A gang apart lacks room in some zones only: what its part has in each.
+	there := map[string]int{}
+	if j.Spread {
+		for _, m := range n.machines {
+			if m.Part == int(g.Part) && part.Allows(j, n.types[m.Type], m.Zone, m.Spot) {
+				there[m.Zone] += n.types[m.Type].Fits(j, j.Tasks)
+			}
+		}
+	}
 	left := int(g.Short)
 	ask := func(empty bool) {
 		for _, s := range statuses {
 			for _, p := range s.Parts {
 				for _, r := range p.Free {
 					if left <= 0 || p.Part == g.Part || r.Empty != empty || zone != "" && r.Zone != zone ||
-						!part.Allows(j, n.types[r.Type], r.Zone, r.Spot) {
+						!part.Allows(j, n.types[r.Type], r.Zone, r.Spot) || j.Spread && there[r.Zone] >= part.Half(j) {
 						continue
 					}
-					left -= n.types[r.Type].Fits(j, j.Tasks)
+					k := n.types[r.Type].Fits(j, j.Tasks)
+					there[r.Zone] += k
+					left -= k
 					l := &mesh.Lend{Machine: r.Machine, To: g.Part}
 					if o := n.book.Owner(lead.PartKey(int(p.Part))); o == n.s.Name {
 						n.lendOut(l)
@@ -1055,28 +1066,23 @@
 // eligible are the parts whose machines, were they empty, could hold the job;
 // a gang as a whole. If there is none, those that hold most of it, or all.
 func (n *Node) eligible(j *wire.Job) []bool {
-	type place struct {
-		part int
-		zone string
-	}
-	need, room := 1, map[place]int{}
+	need, room := 1, make([]map[string]int, len(n.names))
 	if j.Shape == wire.Gang {
 		need = j.Tasks
 	}
+	for k := range room {
+		room[k] = map[string]int{}
+	}
 	for _, m := range n.machines {
 		if t := n.types[m.Type]; m.Part >= 0 && m.Part < len(n.names) && part.Allows(j, t, m.Zone, m.Spot) {
-			at := place{m.Part, ""}
-			if j.OneZone {
-				at.zone = m.Zone
-			}
-			room[at] += t.Fits(j, need)
+			room[m.Part][m.Zone] += t.Fits(j, need)
 		}
 	}
 	holds := make([]int, len(n.names))
 	best := 0
-	for at, k := range room {
-		holds[at.part] = max(holds[at.part], min(k, need))
-		best = max(best, holds[at.part])
+	for k := range room {
+		holds[k] = min(part.Holds(j, room[k]), need)
+		best = max(best, holds[k])
 	}
 	out := make([]bool, len(holds))
 	for k, h := range holds {
--- a/internal/part/job.go
+++ b/internal/part/job.go
@@ -164,11 +164,12 @@
 	moving    bool
 	writtenAt time.Duration
 
-	try      uint64 // gang: its attempt
-	broken   bool   // gang: the attempt has failed and is being cleared
-	halting  bool   // gang: being preempted or drained
-	began    time.Duration
-	queuedAt time.Duration
+	try       uint64 // gang: its attempt
+	broken    bool   // gang: the attempt has failed and is being cleared
+	halting   bool   // gang: being preempted or drained
+	began     time.Duration
+	queuedAt  time.Duration
+	startedAt time.Duration // when some of it was last started here
 
 	failedOn map[string]int           // machines on which a task of it failed
 	avoid    map[string]time.Duration // machines not to be used before
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -199,6 +199,9 @@
 			p.order = nil
 			for _, key := range m.Keys() {
 				run := m.Runs[key]
+				if run == nil {
+					continue // of a gang whose other task here was just told gone
+				}
 				m.Drop(run)
 				if !run.Over() {
 					p.gone(m, run)
@@ -865,22 +868,31 @@
 	}
 }
 
+// forLarge is for how many times the time that idle machines are kept, after the
+// last large job was seen, they are kept for the next.
+const forLarge = 10
+
+// idleKept is how long an idle machine is kept: for as long as a new one takes to
+// boot costs what the boot of a new one would, and waiting longer than that on
+// luck costs more.
+func idleKept(h Host, own bool, t *wire.MachineType) time.Duration {
+	if own {
+		return world.Seconds(t.Boot * h.Settings().Rent.OwnIdleBoots)
+	}
+	return world.Seconds(t.Boot * h.Settings().Rent.IdleBoots)
+}
+
 func (p *Part) idleTooLong(m *Machine, now time.Duration) bool {
 	t := p.h.TypeOf(m.Type)
 	if t == nil {
 		return false
 	}
-	// Keeping a machine for as long as a new one takes to boot costs what the
-	// boot of a new one would: waiting longer than that on luck costs more.
-	keep := world.Seconds(t.Boot * p.h.Settings().Rent.IdleBoots)
-	if m.rec.Own {
-		keep = world.Seconds(t.Boot * p.h.Settings().Rent.OwnIdleBoots)
-	}
+	keep := idleKept(p.h, m.rec.Own, t)
 	large := false
 	for _, s := range p.h.Large() {
 		// Few machines take such jobs: one that does is kept as long as the
 		// next may be expected.
-		if 2*s.Job.Cores > t.Cores && now-s.Seen < 10*keep && p.allowed(m, &s.Job) {
+		if 2*s.Job.Cores > t.Cores && now-s.Seen < forLarge*keep && p.allowed(m, &s.Job) {
 			large = true
 			if now-m.idleAt >= keep && !p.h.Spare(m, &s.Job) {
 				keep *= 6
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -360,7 +360,7 @@
 	fits := make([]*room, 0, len(rooms))
 	total := 0
 	for _, r := range rooms {
-		if r.fits(j) && now >= w.avoid[r.m.ID] && p.allowed(r.m, j) && p.backfills(r, j, now) && !p.kept(r, j) {
+		if r.fits(j) && now >= w.avoid[r.m.ID] && p.allowed(r.m, j) && p.backfills(r, j, now) && !p.kept(r, w, now) {
 			fits = append(fits, r)
 			total++
 		}
@@ -382,6 +382,7 @@
 		p.tries++
 		w.try = p.Token<<20 + p.tries
 	}
+	w.startedAt = now
 	for k, i := range w.nextIdle(p.K, len(plan)) {
 		r := plan[k]
 		t := worker.Task{Job: j.ID, Index: i}
@@ -429,8 +430,8 @@
 			if only != "" && r.m.Zone != only {
 				continue
 			}
-			for len(plan) < n && r.fits(j) && p.backfills(r, j, now) && !p.kept(r, j) {
-				if j.Spread && count[r.m.Zone] >= (j.Tasks+1)/2 {
+			for len(plan) < n && r.fits(j) && p.backfills(r, j, now) && !p.kept(r, w, now) {
+				if j.Spread && count[r.m.Zone] >= Half(j) {
 					break
 				}
 				count[r.m.Zone]++
@@ -505,7 +506,18 @@
 // kept: a machine on which one of the large shapes seen lately could start now
 // is not cut up for small tasks, but for what the large one would leave free,
 // and for work that it may stop without loss.
-func (p *Part) kept(r *room, j *wire.Job) bool { return kept(p.h, r, j) }
+//
+// Not from work of which nothing has started for so long that a machine rented
+// for it would have come or been given up: where all machines have the large
+// shape's size, and those that are there seem enough to whoever rents, it would
+// wait for ever.
+func (p *Part) kept(r *room, w *Work, now time.Duration) bool {
+	return !p.stalled(w, r.t, now) && kept(p.h, r, &w.Rec.Job)
+}
+
+func (p *Part) stalled(w *Work, t *wire.MachineType, now time.Duration) bool {
+	return now-max(w.queuedAt, w.startedAt) > world.Seconds(t.Boot*p.h.Settings().Rent.LateBoots)
+}
 
 func kept(h Host, r *room, j *wire.Job) bool {
 	if r.m.Spot {
@@ -516,7 +528,7 @@
 	}
 	for _, s := range h.Large() {
 		l := &s.Job
-		if 2*l.Cores <= r.t.Cores || 2*j.Cores >= l.Cores || l.Rank < j.Rank || !Allows(l, r.t, r.m.Zone, r.m.Spot) {
+		if h.Now()-s.Seen > forLarge*idleKept(h, r.m.rec.Own, r.t) || 2*l.Cores <= r.t.Cores || 2*j.Cores >= l.Cores || l.Rank < j.Rank || !Allows(l, r.t, r.m.Zone, r.m.Spot) {
 			continue
 		}
 		if j.Rank < l.Rank && j.Mark > 0 {
@@ -629,11 +641,21 @@
 	var start time.Duration
 	for _, zone := range zonesFor(j, rooms) {
 		have, at, set := 0, now, map[*room]option{}
+		there, on := map[string]int{}, map[*room]int{}
 		for _, o := range options {
 			if zone != "" && o.r.m.Zone != zone {
 				continue
 			}
-			have += o.n - set[o.r].n
+			n := o.n - on[o.r]
+			if j.Spread {
+				n = min(n, Half(j)-there[o.r.m.Zone])
+			}
+			if n <= 0 {
+				continue
+			}
+			have += n
+			on[o.r] += n
+			there[o.r.m.Zone] += n
 			set[o.r] = o
 			at = max(at, o.at)
 			if have >= need {
@@ -732,7 +754,7 @@
 	}
 	var plans []plan
 	for _, r := range rooms {
-		if !p.allowed(r.m, j) || p.kept(r, j) || now < w.avoid[r.m.ID] {
+		if !p.allowed(r.m, j) || p.kept(r, w, now) || now < w.avoid[r.m.ID] {
 			continue
 		}
 		var vs []*placement
@@ -777,10 +799,11 @@
 	least := math.Inf(1)
 	for _, zone := range zonesFor(j, rooms) {
 		var set []plan
-		lost := 0.0
+		lost, there := 0.0, map[string]int{}
 		for _, pl := range plans {
-			if len(set) < need && (zone == "" || pl.r.m.Zone == zone) {
+			if len(set) < need && (zone == "" || pl.r.m.Zone == zone) && (!j.Spread || there[pl.r.m.Zone] < Half(j)) {
 				set = append(set, pl)
+				there[pl.r.m.Zone]++
 				lost += pl.lost
 			}
 		}
@@ -879,31 +902,38 @@
 	}
 	j := &w.Rec.Job
 	zone := map[string]int{}
-	all := 0
 	for _, m := range p.machines() {
 		t := p.h.TypeOf(m.Type)
 		if !p.allowed(m, j) || m.retiring != "" || now-m.LastHeard > 3*p.report() || m.lent > now {
 			continue
 		}
-		k := t.Fits(j, j.Tasks)
-		zone[m.Zone] += k
-		all += k
-	}
-	if j.OneZone {
-		all = largest(zone)
+		zone[m.Zone] += t.Fits(j, j.Tasks)
 	}
-	return max(0, j.Tasks-all)
+	return max(0, j.Tasks-Holds(j, zone))
 }
 
-// largest is what the best zone has room for.
-func largest(zone map[string]int) int {
-	n := 0
-	for _, k := range zone {
-		n = max(n, k)
+// Holds gives how many of a job's tasks may be together in the room that zones
+// have: in the best of them for a job in one zone, at most half of the tasks (the
+// larger half) in each for one apart. (Without the latter a gang apart went to and
+// fro between parts of one zone each for ever, as each seemed to have room.)
+func Holds(j *wire.Job, room map[string]int) int {
+	sum, most := 0, 0
+	for _, k := range room {
+		most = max(most, k)
+		if j.Spread {
+			k = min(k, Half(j))
+		}
+		sum += k
 	}
-	return n
+	if j.OneZone {
+		return most
+	}
+	return sum
 }
 
+// Half is the most tasks that a job apart may have in one zone.
+func Half(j *wire.Job) int { return (j.Tasks + 1) / 2 }
+
 // Lend hands a machine over as soon as nothing is, or may be, on it.
 func (p *Part) Lend(id string, to int) {
 	now := p.h.Now()
@@ -951,7 +981,7 @@
 				continue
 			}
 			for _, o := range others {
-				if int(o.Part) != p.K && p.roomFor(j, n, w.gang(), o) {
+				if int(o.Part) != p.K && p.roomFor(w, n, o, now) {
 					p.move(w, c, int(o.Part))
 					return
 				}
@@ -962,19 +992,18 @@
 
 // roomFor counts the tasks that fit into another part's free room, and takes
 // them from the copy of its status, so that the next move sees the rest.
-func (p *Part) roomFor(j *wire.Job, n int, all bool, o *mesh.PartStatus) bool {
-	fit := 0
-	zone := map[string]int{}
+func (p *Part) roomFor(w *Work, n int, o *mesh.PartStatus, now time.Duration) bool {
+	j, zone := &w.Rec.Job, map[string]int{}
 	for _, f := range o.Free {
-		k := min(n, RoomFor(p.h, j, f))
-		fit += k
-		zone[f.Zone] += k
-	}
-	if j.OneZone {
-		fit = largest(zone)
+		k := RoomFor(p.h, j, f)
+		if t := p.h.TypeOf(f.Type); k == 0 && Allows(j, t, f.Zone, f.Spot) && p.stalled(w, t, now) {
+			k = fitsRoom(j, f)
+		}
+		zone[f.Zone] += min(n, k)
 	}
+	fit := Holds(j, zone)
 	want := n
-	if !all {
+	if !w.gang() {
 		want = (n + 1) / 2
 	}
 	if fit < want {
--- /dev/null
+++ b/internal/standin/random_test.go
@@ -0,0 +1,180 @@
+package standin
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"curlewspool/internal/wire"
+)
+
+var days = flag.Int("days", 60, "random days to play")
+var firstDay = flag.Int("first", 1, "the first one's seed")
+
+// troubles begin at a time and are over by themselves; each says what it does.
+var troubles = []struct {
+	name string
+	do   func(s *Sim, r *rand.Rand, w []*Worker, at, length float64)
+}{
+	{"a controller crashes", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		s.crash(at, at+3+length/4, s.all[r.IntN(3)])
+	}},
+	{"all controllers crash", func(s *Sim, r *rand.Rand, _ []*Worker, at, _ float64) { s.crash(at, at+2+2*r.Float64(), s.all...) }},
+	{"the controllers are rolled", func(s *Sim, _ *rand.Rand, _ []*Worker, at, length float64) {
+		for i, n := range s.all {
+			s.crash(at+float64(i)*length/2, at+float64(i)*length/2+3, n)
+		}
+	}},
+	{"a controller stands still", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		n, holds := s.all[r.IntN(3)], r.IntN(2) == 0
+		s.At(at, func() { s.Nodes[n].Freeze(time.Duration(length*float64(time.Second)), holds) })
+	}},
+	{"all controllers stand still", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		for _, n := range s.all {
+			holds := r.IntN(2) == 0
+			s.At(at+r.Float64(), func() { s.Nodes[n].Freeze(time.Duration(length*float64(time.Second)), holds) })
+		}
+	}},
+	{"the state service is down", func(s *Sim, _ *rand.Rand, _ []*Worker, at, length float64) {
+		s.At(at, func() { s.State.Outage(time.Duration(length * float64(time.Second))) })
+	}},
+	{"the state service refuses one controller", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		n := s.all[r.IntN(3)]
+		s.At(at, func() { s.Refuse(n, "state", true) })
+		s.At(at+2*length, func() { s.Refuse(n, "state", false) })
+	}},
+	{"a controller loses the state service", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		s.cutFor(at, at+2*length, [][2]string{{s.all[r.IntN(3)], "state"}})
+	}},
+	{"a controller loses its workers", func(s *Sim, r *rand.Rand, w []*Worker, at, length float64) {
+		n := s.all[r.IntN(3)]
+		var pairs [][2]string
+		for _, x := range w {
+			pairs = append(pairs, [2]string{x.Addr(), n}, [2]string{x.Addr(), s.api(n)})
+		}
+		s.cutFor(at, at+2*length, pairs)
+	}},
+	{"controllers refuse each other", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		i := r.IntN(3)
+		s.cutFor(at, at+2*length, [][2]string{{s.all[i], s.all[(i+1)%3]}})
+	}},
+	{"a zone is cut off", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		zone := []string{"a", "b"}[r.IntN(2)]
+		s.At(at, func() { s.At(at+2*length, s.CutZone(zone)) })
+	}},
+	{"machines lose the network", func(s *Sim, r *rand.Rand, w []*Worker, at, length float64) {
+		for range 2 {
+			s.cutFor(at, at+3*length, s.links(w[r.IntN(len(w))]))
+		}
+	}},
+	{"a machine loses the network but for one controller", func(s *Sim, r *rand.Rand, w []*Worker, at, length float64) {
+		x, n := w[r.IntN(len(w))], r.IntN(3)
+		pairs := s.links(x)
+		s.cutFor(at, at+3*length, slices.Delete(pairs, 2*n, 2*n+2))
+	}},
+	{"machines hang", func(s *Sim, r *rand.Rand, w []*Worker, at, length float64) {
+		for range 2 {
+			x := w[r.IntN(len(w))]
+			s.At(at, func() { x.Hung = true })
+			s.At(at+2*length, func() { x.Hung = false })
+		}
+	}},
+	{"a machine dies", func(s *Sim, r *rand.Rand, w []*Worker, at, _ float64) { s.At(at, w[r.IntN(len(w))].Die) }},
+	{"a machine fails every task", func(s *Sim, r *rand.Rand, w []*Worker, at, length float64) {
+		x := w[r.IntN(len(w))]
+		s.At(at, func() { x.Faulty = true })
+		s.At(at+length, func() { x.Faulty = false })
+	}},
+	{"the spot machines are taken", func(s *Sim, r *rand.Rand, w []*Worker, at, length float64) {
+		for _, x := range w {
+			if x.spot && r.IntN(2) == 0 {
+				s.At(at+r.Float64(), func() { x.Notice(time.Duration(length / 2 * float64(time.Second))) })
+			} else if x.spot {
+				s.At(at+r.Float64(), x.Die)
+			}
+		}
+	}},
+	{"a burst", func(s *Sim, r *rand.Rand, _ []*Worker, at, _ float64) {
+		burst(s, at, 3+r.IntN(5), 1+r.IntN(6), 3+5*r.Float64())
+	}},
+}
+
+// play plays a random day of two to five troubles that overlap and end by 80 s,
+// and gives what went wrong.
+func play(seed int) (s *Sim, script, wrong []string) {
+	r := rand.New(rand.NewPCG(uint64(seed), 7))
+	s = New(uint64(seed))
+	s.API()
+	w := fleet(s, 4+r.IntN(5), r.IntN(3))
+	for range r.IntN(4) {
+		w = append(w, s.AddWorker("small", []string{"a", "b"}[r.IntN(2)], true))
+	}
+	for _, z := range []string{"a", "b"} {
+		s.Cloud.Left["small/"+z+"/false"] = 4
+		s.Cloud.Left["small/"+z+"/true"] = r.IntN(3)
+	}
+	for i := range 5 + r.IntN(5) {
+		id := fmt.Sprintf("wk-%d", i+1)
+		shape, tasks, cores := wire.Array, 1+r.IntN(16), float64(1+r.IntN(2))
+		if r.IntN(3) == 0 {
+			shape, tasks, cores = wire.Gang, 2+r.IntN(2), float64(2+r.IntN(3))
+		}
+		together, apart, mark := r.IntN(3) == 0, r.IntN(4) == 0, 4*float64(r.IntN(2))
+		at := 4 + 40*r.Float64()
+		s.Submit(at, Spec(id, shape, tasks, cores, 4+16*r.Float64(), func(x *wire.Submission) {
+			save := mark / 4
+			apart := apart && !together
+			x.Together, x.Apart, x.Mark, x.Stow = &together, &apart, &mark, &save
+		}))
+		if r.IntN(5) == 0 {
+			s.Abort(at+20*r.Float64(), id)
+		}
+	}
+	at, burst := 8+20*r.Float64(), false
+	for range 2 + r.IntN(4) {
+		t, length := troubles[r.IntN(len(troubles))], 2+14*r.Float64()
+		if t.name == "a burst" && burst {
+			continue // its jobs have the same names
+		}
+		burst = burst || t.name == "a burst"
+		script = append(script, fmt.Sprintf("%.1f %s (%.1f)", at, t.name, length))
+		t.do(s, r, w, at, length)
+		at += 8 * r.Float64()
+	}
+	s.Start()
+	s.Run(400)
+	wrong = append(wrong, s.Broken...)
+	for id := range s.jobs {
+		if got := s.Told(id); got != wire.Done && got != wire.Withdrawn {
+			j := s.jobs[id]
+			why := ""
+			for _, n := range s.names() {
+				if x := s.Nodes[n].Node.Describe().Waiting[id]; x != "" {
+					why += n + ": " + x + "; "
+				}
+			}
+			wrong = append(wrong, fmt.Sprintf("%s is %q at the end (%s %d x %v one zone %v apart %v): %s", id, got, j.Shape, j.Tasks, j.Cores, j.OneZone, j.Spread, why))
+		}
+	}
+	slices.Sort(wrong)
+	return s, script, wrong
+}
+
+// Random days: whatever overlaps, no rule breaks and all is done or cancelled in
+// the end. A day that fails is played again by its seed:
+// go test ./internal/standin -run TestRandomDays -first SEED -days 1 -v
+func TestRandomDays(t *testing.T) {
+	for seed := *firstDay; seed < *firstDay+*days; seed++ {
+		s, script, wrong := play(seed)
+		if len(wrong) > 0 {
+			t.Errorf("day %d: %s\n  with %s", seed, strings.Join(wrong, "; "), strings.Join(script, ", "))
+		}
+		if *days == 1 {
+			t.Log(s.Text())
+		}
+	}
+}
