--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -512,11 +512,13 @@
 // shape's size, and those that are there seem enough to whoever rents, it would
 // wait for ever.
 func (p *Part) kept(r *room, w *Work, now time.Duration) bool {
-	return !p.stalled(w, r.t, now) && kept(p.h, r, &w.Rec.Job)
+	return !p.stalled(w, r.t, 1, now) && kept(p.h, r, &w.Rec.Job)
 }
 
-func (p *Part) stalled(w *Work, t *wire.MachineType, now time.Duration) bool {
-	return now-max(w.queuedAt, w.startedAt) > world.Seconds(t.Boot*p.h.Settings().Rent.LateBoots)
+// stalled: nothing of the work has started here for some times the wait for a
+// machine of the type.
+func (p *Part) stalled(w *Work, t *wire.MachineType, times float64, now time.Duration) bool {
+	return now-max(w.queuedAt, w.startedAt) > world.Seconds(times*t.Boot*p.h.Settings().Rent.LateBoots)
 }
 
 func kept(h Host, r *room, j *wire.Job) bool {
@@ -996,7 +998,9 @@
 	j, zone := &w.Rec.Job, map[string]int{}
 	for _, f := range o.Free {
 		k := RoomFor(p.h, j, f)
-		if t := p.h.TypeOf(f.Type); k == 0 && Allows(j, t, f.Zone, f.Spot) && p.stalled(w, t, now) {
+		// Twice as long as it waits for kept machines here: it would else be sent
+		// to and fro, each part having had no time to start it.
+		if t := p.h.TypeOf(f.Type); k == 0 && Allows(j, t, f.Zone, f.Spot) && p.stalled(w, t, 2, now) {
 			k = fitsRoom(j, f)
 		}
 		zone[f.Zone] += min(n, k)
