--- /dev/null
+++ b/internal/node/load_test.go
@@ -0,0 +1,28 @@
+package node
+
+import (
+	"testing"
+	"time"
+)
+
+// The busiest ten seconds are found wherever they lie, and a pause empties the ring.
+func TestPeak(t *testing.T) {
+	var p Peak
+	add := func(from, to int, n float64) {
+		for s := from; s < to; s++ {
+			p.Add(time.Duration(s)*time.Second+300*time.Millisecond, n)
+		}
+	}
+	add(0, 30, 2)
+	if p.Most != 20 {
+		t.Errorf("steady: %v in ten seconds, want 20", p.Most)
+	}
+	add(35, 37, 50) // with 2 in each of the seconds 27 to 29
+	if p.Most != 106 {
+		t.Errorf("burst: %v in ten seconds, want 106", p.Most)
+	}
+	add(1000, 1010, 10)
+	if p.Most != 106 || p.sum != 100 {
+		t.Errorf("after a pause: most %v and %v now, want 106 and 100", p.Most, p.sum)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,7 @@
 	signed   time.Duration
 	pushing  int // direct orders under way
 
+	load   *metered
 	asks   map[uint64]func(*mesh.Answer)
 	askID  uint64
 	claims time.Duration
@@ -87,7 +88,9 @@
 // New makes a controller; Start sets it going.
 func New(w world.World, s *settings.Settings) *Node {
 	d := &s.Deployment
-	n := &Node{w: w, s: s, names: s.Names(), types: map[string]*wire.MachineType{}, jobs: map[string]*part.JobRecord{},
+	load := meter(w, s)
+	w = load
+	n := &Node{w: w, s: s, load: load, names: s.Names(), types: map[string]*wire.MachineType{}, jobs: map[string]*part.JobRecord{},
 		progress: map[string]map[int]*part.Progress{}, machines: map[string]*part.MachineRecord{}, parts: map[int]*part.Part{},
 		cleaning: map[string]bool{}, orphans: map[string]bool{}, rosters: map[string][]string{}, enlist: newEnlist(), due: map[string][]float64{}, large: map[string]part.Large{}, peers: map[string]*peer{},
 		asks: map[uint64]func(*mesh.Answer){}, ranker: &dispatch.Ranker{Max: s.Rank.Max, Window: s.Rank.Window}}
@@ -1349,6 +1352,7 @@
 	Machines int               `cbor:"machines" json:"machines"`
 	Intake   string            `cbor:"intake" json:"intake"`
 	Submits  intake.Times      `cbor:"submits" json:"submits"`
+	Busiest  Load              `cbor:"busiest" json:"busiest_10_s"`
 	// Federation is nil without partners.
 	Federation *federation.View `cbor:"federation,omitempty" json:"federation,omitempty"`
 }
@@ -1364,7 +1368,7 @@
 // Describe tells an operator what this controller owns and why jobs wait.
 func (n *Node) Describe() *State {
 	s := &State{Host: n.s.Name, Leader: n.book.Owner(lead.Leader), Ready: n.ready(), Parts: []PartState{}, Waiting: map[string]string{},
-		Jobs: len(n.jobs), Machines: len(n.machines), Intake: n.intake.String(), Submits: *n.intake.Times()}
+		Jobs: len(n.jobs), Machines: len(n.machines), Intake: n.intake.String(), Submits: *n.intake.Times(), Busiest: n.load.load()}
 	n.eachPart(func(p *part.Part) {
 		s.Parts = append(s.Parts, PartState{p.K, p.Token, len(p.Machines), len(p.Works)})
 		for id, why := range p.Waiting() {
