Simplify: one way over a machine's runs; room, homes and savings worked out once

- Loops over Machine.Keys looked the run up again, and stopping a task of a gang may take others off the machine: the guard put into one loop was missing in the drain before a spot notice, where the controller ended (test, fails before).
Machine.All passes over what is gone, for all nine loops; the guard goes.
- Free room had a second count without kept machines beside the first, with the machine's type checked twice: RoomFor says which.
- Whether half a gang is there asked for the silent machines of each part at each tick; now only for a gang that could be one.
The longest save of lower work is summed up only where an objective needs it.
- Homes of parts were found by up to three walks over all machines a part and beat; the walk that counts them for crowds gives both.
- Answers to requests name their fields; which member is better for a part is one function.

--- a/internal/node/federation.go
+++ b/internal/node/federation.go
@@ -162,7 +162,7 @@
 			zone := map[string]int{}
 			for _, f := range p.Free {
 				if !wanted[f.Type] {
-					zone[f.Zone] += part.RoomFor(n, j, f)
+					zone[f.Zone] += part.RoomFor(n, j, f, true)
 				}
 			}
 			all := part.Holds(j, zone)
@@ -182,7 +182,7 @@
 		for _, p := range s.Parts {
 			k := 0
 			for _, f := range p.Free {
-				k += part.RoomFor(n, j, f)
+				k += part.RoomFor(n, j, f, true)
 			}
 			if k = min(k, j.Tasks); k > most {
 				best, most = int(p.Part), k
--- a/internal/node/line.go
+++ b/internal/node/line.go
@@ -75,7 +75,7 @@
 	app := fiber.New(fiber.Config{DisableStartupMessage: true, BodyLimit: 2 * wire.MaxBody, Concurrency: open, ReadTimeout: 10 * time.Second,
 		WriteTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second, DisableDefaultDate: true,
 		ErrorHandler: func(c *fiber.Ctx, err error) error {
-			return send(c, answer{400, &wire.Problem{Error: err.Error()}, 0, false})
+			return send(c, answer{status: 400, body: &wire.Problem{Error: err.Error()}})
 		}})
 	app.Post("/v1/*", p.serve)
 	go func() {
@@ -92,10 +92,10 @@
 	if err != nil {
 		p.refused.Do(func() { slog.Info("federation: request refused", "addr", c.Context().RemoteAddr(), "why", err) })
 		c.Context().SetConnectionClose()
-		return send(c, answer{403, &wire.Problem{Error: "not a partner: " + err.Error()}, 0, false})
+		return send(c, answer{status: 403, body: &wire.Problem{Error: "not a partner: " + err.Error()}})
 	}
 	if !p.limits[from].Allow() {
-		return send(c, answer{429, &wire.Problem{Error: "too many requests"}, 1, false})
+		return send(c, answer{status: 429, body: &wire.Problem{Error: "too many requests"}, retry: 1})
 	}
 	path, body := strings.Clone(c.Path()), bytes.Clone(c.Body())
 	return p.l.do(c, func(r func(answer)) { p.l.node.PartnerAsks(from, path, body, replier(r)) })
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -182,25 +182,25 @@
 			if status == fiber.StatusRequestEntityTooLarge {
 				status = fiber.StatusBadRequest
 			}
-			return send(c, answer{status, &wire.Problem{Error: err.Error()}, 0, false})
+			return send(c, answer{status: status, body: &wire.Problem{Error: err.Error()}})
 		},
 	})
 	app.Get("/up", func(c *fiber.Ctx) error {
 		return l.do(c, func(r func(answer)) {
 			if l.node.Up() {
-				r(answer{200, map[string]string{"status": "up"}, 0, false})
+				r(answer{status: 200, body: map[string]string{"status": "up"}})
 			} else {
-				r(answer{503, &wire.Problem{Error: "not ready"}, 1, false})
+				r(answer{status: 503, body: &wire.Problem{Error: "not ready"}, retry: 1})
 			}
 		})
 	})
 	app.Post("/v1/report", func(c *fiber.Ctx) error {
 		rep := &wire.Report{}
 		if err := wire.Decode(c.Body(), rep); err != nil {
-			return send(c, answer{400, &wire.Problem{Error: "not a report"}, 0, false})
+			return send(c, answer{status: 400, body: &wire.Problem{Error: "not a report"}})
 		}
 		return l.do(c, func(r func(answer)) {
-			l.node.Report(rep, func(status int, body any) { r(answer{status, body, 0, false}) })
+			l.node.Report(rep, func(status int, body any) { r(answer{status: status, body: body}) })
 		})
 	})
 	app.Post("/v2/runs", func(c *fiber.Ctx) error {
@@ -217,7 +217,7 @@
 		return l.do(c, func(r func(answer)) { l.node.Abort(id, l.user(r)) })
 	})
 	app.Get("/debug/state", func(c *fiber.Ctx) error {
-		return l.do(c, func(r func(answer)) { r(answer{200, l.node.Describe(), 0, false}) })
+		return l.do(c, func(r func(answer)) { r(answer{status: 200, body: l.node.Describe()}) })
 	})
 	return app.Listener(ln)
 }
@@ -227,7 +227,7 @@
 // reaches another controller.
 func (l *Loop) user(r func(answer)) func(int, any, int) {
 	return func(status int, body any, retry int) {
-		r(answer{status, body, retry, status == fiber.StatusServiceUnavailable && !l.node.Up()})
+		r(answer{status: status, body: body, retry: retry, last: status == fiber.StatusServiceUnavailable && !l.node.Up()})
 	}
 }
 
@@ -238,7 +238,7 @@
 // do runs a command on the owner's goroutine and waits for its answer.
 func (l *Loop) do(c *fiber.Ctx, f func(r func(answer))) error {
 	if len(l.queue) > waiting/2 {
-		return send(c, answer{503, &wire.Problem{Error: "overloaded"}, 1, false})
+		return send(c, answer{status: 503, body: &wire.Problem{Error: "overloaded"}, retry: 1})
 	}
 	ch := make(chan answer, 1)
 	l.queue <- func() {
@@ -255,7 +255,7 @@
 	case a := <-ch:
 		return send(c, a)
 	case <-t.C:
-		return send(c, answer{503, &wire.Problem{Error: "slow"}, 1, false})
+		return send(c, answer{status: 503, body: &wire.Problem{Error: "slow"}, retry: 1})
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -557,6 +557,13 @@
 		p := n.peers[name]
 		return now-p.ready < 3*n.heartbeat() && !p.status.Deaf
 	}
+	// better: a member is to have a part rather than another.
+	better := func(m, than string, k int, zone string) bool {
+		if a, b := crowd.fits(m, k), crowd.fits(than, k); a != b {
+			return a
+		}
+		return n.fitter(m, than, zone, count)
+	}
 	for k, name := range n.names {
 		o := n.book.Owner(lead.PartKey(k))
 		if o != "" && !n.absent(o) {
@@ -565,12 +572,12 @@
 		if o == "" && now-n.goodFor < 2*n.heartbeat() {
 			continue // others may still be starting
 		}
-		best, zone := "", n.homeZone(k, home)
+		best, zone := "", crowd.homeZone(k, home)
 		if there(name) && count[name] == 0 && (zone == "" || n.zoneOf(name) == zone) && crowd.fits(name, k) {
 			best = name
 		} else {
 			for _, m := range n.names {
-				if m != o && there(m) && (best == "" || crowd.fits(m, k) && !crowd.fits(best, k) || crowd.fits(m, k) == crowd.fits(best, k) && n.fitter(m, best, zone, count)) {
+				if m != o && there(m) && (best == "" || better(m, best, k, zone)) {
 					best = m
 				}
 			}
@@ -593,11 +600,11 @@
 	// A member without a part gets one back from a member with several; a part
 	// whose machines are mostly in one zone belongs to a member there.
 	for k := range n.names {
-		o, zone := n.book.Owner(lead.PartKey(k)), n.homeZone(k, farHome)
+		o, zone := n.book.Owner(lead.PartKey(k)), crowd.homeZone(k, farHome)
 		if o == "" || !there(o) || zone != "" && n.zoneOf(o) == zone && crowd.machines[o] <= crowd.most {
 			continue
 		}
-		homeless := n.homeZone(k, home) == ""
+		homeless := crowd.homeZone(k, home) == ""
 		crowded := crowd.machines[o] > crowd.most && count[o] > 1
 		for _, m := range n.names {
 			if m == o || !there(m) || now-n.since(m) < n.lease()/4 {
@@ -625,6 +632,8 @@
 // another while it is ordered directly; a quarter is users'.
 type crowds struct {
 	sizes    []int
+	cores    []map[string]float64 // of each part, by zone, of known types
+	typed    []int                // machines that those are of
 	machines map[string]int
 	most     int
 }
@@ -633,15 +642,44 @@
 func (c *crowds) fits(name string, k int) bool { return c.machines[name]+c.sizes[k] <= c.most }
 
 func (n *Node) crowds() crowds {
-	c := crowds{sizes: make([]int, len(n.names)), machines: map[string]int{}, most: n.s.Deployment.Limits.Sockets / 2}
+	parts := len(n.names)
+	c := crowds{sizes: make([]int, parts), cores: make([]map[string]float64, parts), typed: make([]int, parts), machines: map[string]int{},
+		most: n.s.Deployment.Limits.Sockets / 2}
+	for k := range c.cores {
+		c.cores[k] = map[string]float64{}
+	}
 	for _, m := range n.machines {
-		if m.Part >= 0 && m.Part < len(c.sizes) {
-			c.sizes[m.Part]++
+		if m.Part < 0 || m.Part >= parts {
+			continue
+		}
+		c.sizes[m.Part]++
+		if t := n.types[m.Type]; t != nil {
+			c.cores[m.Part][m.Zone] += t.Cores
+			c.typed[m.Part]++
 		}
 	}
 	return c
 }
 
+// A part's home is the zone with this share of its cores. A part changes hands
+// only for a larger one, so that owners do not change with every machine.
+const home, farHome = 0.6, 0.8
+
+// homeZone is the zone that has most of a part's cores, if one has by far:
+// with an owner there, a cut between zones does not part it from them.
+func (c *crowds) homeZone(k int, share float64) string {
+	all := 0.0
+	for _, cores := range c.cores[k] {
+		all += cores
+	}
+	for z, cores := range c.cores[k] {
+		if c.typed[k] > 1 && cores > share*all {
+			return z
+		}
+	}
+	return ""
+}
+
 // since is when a member became ready, as far as is known here.
 func (n *Node) since(name string) time.Duration {
 	if p := n.peers[name]; p != nil {
@@ -667,29 +705,6 @@
 	return n.s.Zone
 }
 
-// A part's home is the zone with this share of its cores. A part changes hands
-// only for a larger one, so that owners do not change with every machine.
-const home, farHome = 0.6, 0.8
-
-// homeZone is the zone that has most of a part's cores, if one has by far:
-// with an owner there, a cut between zones does not part it from them.
-func (n *Node) homeZone(k int, share float64) string {
-	cores, all, count := map[string]float64{}, 0.0, 0
-	for _, m := range n.machines {
-		if t := n.types[m.Type]; t != nil && m.Part == k {
-			cores[m.Zone] += t.Cores
-			all += t.Cores
-			count++
-		}
-	}
-	for z, c := range cores {
-		if count > 1 && c > share*all {
-			return z
-		}
-	}
-	return ""
-}
-
 // --- time ---
 
 func (n *Node) tick() {
--- a/internal/part/loan.go
+++ b/internal/part/loan.go
@@ -224,8 +224,8 @@
 		if !m.Resolved && w.stored.has(m.ID) {
 			return false
 		}
-		for _, key := range m.Keys() {
-			if key.Job == w.Rec.Job.ID && !m.Runs[key].Over() && m.Runs[key].MayBeThere() {
+		for run := range m.All() {
+			if run.Job == w.Rec.Job.ID && !run.Over() && run.MayBeThere() {
 				return false
 			}
 		}
@@ -259,17 +259,14 @@
 	})
 }
 
-// RoomFor counts the tasks of a job that would start in a free room now.
-func RoomFor(h Host, j *wire.Job, f *mesh.Room) int {
+// RoomFor counts the tasks of a job that would start in a free room now; beside:
+// in what is not kept for large jobs.
+func RoomFor(h Host, j *wire.Job, f *mesh.Room, beside bool) int {
 	t := h.TypeOf(f.Type)
-	if !Allows(j, t, f.Zone, f.Spot) || kept(h, &room{m: &Machine{Machine: &worker.Machine{Zone: f.Zone, Spot: f.Spot}, rec: MachineRecord{Own: f.Own}}, t: t,
+	if !Allows(j, t, f.Zone, f.Spot) || beside && kept(h, &room{m: &Machine{Machine: &worker.Machine{Zone: f.Zone, Spot: f.Spot}, rec: MachineRecord{Own: f.Own}}, t: t,
 		cores: f.Cores, gpus: f.Gpus, mem: f.MemoryGb}, j) {
 		return 0
 	}
-	return fitsRoom(j, f)
-}
-
-func fitsRoom(j *wire.Job, f *mesh.Room) int {
 	return (&wire.MachineType{Cores: f.Cores, GPUs: f.Gpus, Memory: f.MemoryGb}).Fits(j, j.Tasks)
 }
 
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -197,11 +197,7 @@
 		if m != nil {
 			delete(p.Machines, id)
 			p.order = nil
-			for _, key := range m.Keys() {
-				run := m.Runs[key]
-				if run == nil {
-					continue // of a gang whose other task here was just told gone
-				}
+			for run := range m.All() {
 				m.Drop(run)
 				if !run.Over() {
 					p.gone(m, run)
@@ -223,8 +219,7 @@
 func (p *Part) drop(w *Work) {
 	w.Rec.Parts = nil
 	for _, m := range p.machines() {
-		for _, key := range m.Keys() {
-			run := m.Runs[key]
+		for run := range m.All() {
 			if run.Job != w.Rec.Job.ID {
 				continue
 			}
@@ -558,9 +553,9 @@
 			active++
 		}
 	}
-	every, silent := p.saveEvery(active), p.silent()
+	every := p.saveEvery(active)
 	for _, w := range p.works() {
-		if p.half(w, silent) {
+		if p.half(w) {
 			slog.Info("part: half a gang is started anew", "part", p.K, "job", w.Rec.Job.ID, "there", w.nplaced)
 			w.broken, p.dirty = true, true
 			p.clearGang(w)
@@ -761,8 +756,7 @@
 		p.retire(m, "idle")
 	default:
 		m.draining = true
-		for _, key := range m.Keys() {
-			run := m.Runs[key]
+		for run := range m.All() {
 			if w := p.Works[run.Job]; w != nil && !run.Over() && !run.Halt && !run.Foreign {
 				p.stopRun(w, &placement{m, run}, "its machine is returned")
 			}
@@ -826,8 +820,7 @@
 // drain stops what can save its progress before a spot machine is taken, and
 // cannot end before.
 func (p *Part) drain(m *Machine, now time.Duration) {
-	for _, key := range m.Keys() {
-		run := m.Runs[key]
+	for run := range m.All() {
 		w := p.Works[run.Job]
 		if w == nil || run.Over() || run.Halt || run.Foreign {
 			continue
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -178,8 +178,8 @@
 // What is there waits for peers that nobody starts, until gang_wait_s ends it. (35
 // and 45 s at the users', who expect gangs to start within 6 and 20; found as a
 // gang that stayed for ever in a stand-in without that time.)
-func (p *Part) half(w *Work, silent []*Machine) bool {
-	return w.gang() && !w.broken && !w.halting && w.nplaced > 0 && w.idle > 0 && !p.blocked(w, silent)
+func (p *Part) half(w *Work) bool {
+	return w.gang() && !w.broken && !w.halting && w.nplaced > 0 && w.idle > 0 && !p.blocked(w, p.silent())
 }
 
 func (p *Part) queue(now time.Duration) []*Work {
@@ -717,19 +717,13 @@
 	j := &w.Rec.Job
 	age := p.h.Wall() - w.Rec.At
 	wait := age + (start - now).Seconds() + fetch.Seconds()
-	save := 0.0
-	for _, o := range p.works() {
-		if o.nplaced > 0 && o.Rec.Job.Rank < j.Rank {
-			save = max(save, o.Rec.Job.Save)
-		}
-	}
 	// A pass may be half a report away, and the word that they have saved.
-	last := age + save + fetch.Seconds() + p.report().Seconds()
+	last := func() float64 { return age + p.longestSave(j.Rank) + fetch.Seconds() + p.report().Seconds() }
 	expected := false
 	for _, o := range p.h.Settings().Deployment.Objectives {
 		if o.Class == j.Class && o.Kind == "wait" {
 			expected = true
-			if wait > o.Within || start > now && last > o.Within {
+			if wait > o.Within || start > now && last() > o.Within {
 				return true
 			}
 		}
@@ -743,6 +737,17 @@
 	return !expected && (start-now).Seconds() > j.Estimate/2 || p.guaranteed(j.Team)
 }
 
+// longestSave is how long work of lower ranks that is placed takes to save, in
+// seconds.
+func (p *Part) longestSave(rank int) (save float64) {
+	for _, o := range p.works() {
+		if o.nplaced > 0 && o.Rec.Job.Rank < rank {
+			save = max(save, o.Rec.Job.Save)
+		}
+	}
+	return save
+}
+
 // preempt stops work that may be stopped for w (PROTOCOL, "Preemption") if
 // that frees room for the tasks it needs. While victims save, their room
 // stays reserved for w. only: of what may be stopped, that; nil: all.
@@ -760,8 +765,7 @@
 			continue
 		}
 		var vs []*placement
-		for _, key := range r.m.Keys() {
-			run := r.m.Runs[key]
+		for run := range r.m.All() {
 			o := p.Works[run.Job]
 			if o == nil || run.Over() || o == w || only != nil && !only(o) {
 				continue
@@ -997,13 +1001,10 @@
 func (p *Part) roomFor(w *Work, n int, o *mesh.PartStatus, now time.Duration) bool {
 	j, zone := &w.Rec.Job, map[string]int{}
 	for _, f := range o.Free {
-		k := RoomFor(p.h, j, f)
 		// Twice as long as it waits for kept machines here: it would else be sent
 		// to and fro, each part having had no time to start it.
-		if t := p.h.TypeOf(f.Type); k == 0 && Allows(j, t, f.Zone, f.Spot) && p.stalled(w, t, 2, now) {
-			k = fitsRoom(j, f)
-		}
-		zone[f.Zone] += min(n, k)
+		t := p.h.TypeOf(f.Type)
+		zone[f.Zone] += min(n, RoomFor(p.h, j, f, t == nil || !p.stalled(w, t, 2, now)))
 	}
 	fit := Holds(j, zone)
 	want := n
@@ -1015,10 +1016,7 @@
 	}
 	left := n
 	for _, f := range o.Free {
-		if !Allows(j, p.h.TypeOf(f.Type), f.Zone, f.Spot) {
-			continue
-		}
-		k := min(fitsRoom(j, f), left)
+		k := min(RoomFor(p.h, j, f, false), left)
 		f.Cores -= float64(k) * j.Cores
 		f.Gpus -= float64(k) * j.GPUs
 		f.MemoryGb -= float64(k) * j.Memory
--- a/internal/part/tenure_test.go
+++ b/internal/part/tenure_test.go
@@ -102,18 +102,24 @@
 
 // Found on a random day: a machine went away with two tasks of a gang that were
 // not launched yet. Telling the first gone took the other off as well, which was
-// then told gone itself, and the controller ended.
+// then told gone itself, and the controller ended. A spot notice did the same
+// (found on a reading).
 func TestMachineGoneWithHalfAGang(t *testing.T) {
-	_, p := queued(t)
-	p.OnJob("wk-2", &JobRecord{Job: wire.Job{ID: "wk-2", Shape: wire.Gang, Tasks: 2, Cores: 1, Estimate: 9}, Chunk: 2, Parts: []int{0}}, 4)
-	p.Pass()
-	w := p.Works["wk-2"]
-	if w.nplaced != 2 {
-		t.Fatalf("%d tasks of the gang are placed, want both", w.nplaced)
-	}
-	p.OnMachine("i-1", nil)
-	if w.nplaced != 0 || w.idle != 2 || w.broken {
-		t.Errorf("%d placed, %d queued, broken %v; want the gang queued whole", w.nplaced, w.idle, w.broken)
+	for name, end := range map[string]func(p *Part, m *Machine){
+		"gone":   func(p *Part, m *Machine) { p.OnMachine("i-1", nil) },
+		"notice": func(p *Part, m *Machine) { p.drain(m, p.h.Now()) },
+	} {
+		_, p := queued(t)
+		p.OnJob("wk-2", &JobRecord{Job: wire.Job{ID: "wk-2", Shape: wire.Gang, Tasks: 2, Cores: 1, Estimate: 9}, Chunk: 2, Parts: []int{0}}, 4)
+		p.Pass()
+		w := p.Works["wk-2"]
+		if w.nplaced != 2 {
+			t.Fatalf("%s: %d tasks of the gang are placed, want both", name, w.nplaced)
+		}
+		end(p, p.Machines["i-1"])
+		if w.nplaced != 0 || w.idle != 2 || w.broken {
+			t.Errorf("%s: %d placed, %d queued, broken %v; want the gang queued whole", name, w.nplaced, w.idle, w.broken)
+		}
 	}
 }
 
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -7,6 +7,7 @@
 package worker
 
 import (
+	"iter"
 	"math"
 	"sort"
 	"strconv"
@@ -180,13 +181,12 @@
 			events = append(events, Event{run, Started})
 		}
 	}
-	for _, key := range m.Keys() {
-		run := m.Runs[key]
-		if listed[key] || !run.sent && run.State == "" {
+	for run := range m.All() {
+		if listed[run.RunKey] || !run.sent && run.State == "" {
 			continue
 		}
 		if run.reapSent && r.Newer(run.reapS, run.reapSeq) {
-			delete(m.Runs, key)
+			delete(m.Runs, run.RunKey)
 			continue
 		}
 		if run.State == "" && r.Session == run.session && !m.disproves(r, run, posted) {
@@ -196,7 +196,7 @@
 			run.sent = false // the answer with the launch was dropped: say it again
 			continue
 		}
-		delete(m.Runs, key)
+		delete(m.Runs, run.RunKey)
 		if !run.Over() {
 			events = append(events, Event{run, Vanished})
 		}
@@ -225,7 +225,19 @@
 	return posted && r.Newer(run.session, run.seq)
 }
 
-// Keys lists the runs in a fixed order.
+// All gives the runs in a fixed order. One that is no longer there when its turn
+// comes is passed over: stopping a task of a gang may take others off.
+func (m *Machine) All() iter.Seq[*Run] {
+	return func(yield func(*Run) bool) {
+		for _, key := range m.Keys() {
+			if run := m.Runs[key]; run != nil && !yield(run) {
+				return
+			}
+		}
+	}
+}
+
+// Keys lists them by name.
 func (m *Machine) Keys() []RunKey {
 	keys := make([]RunKey, 0, len(m.Runs))
 	for k := range m.Runs {
@@ -252,8 +264,7 @@
 // be outdated by.
 func (m *Machine) Orders(direct bool, now time.Duration) []wire.Command {
 	var halts, launches, reaps []wire.Command
-	for _, key := range m.Keys() {
-		run := m.Runs[key]
+	for run := range m.All() {
 		// Home reckons that an answer given after the permit's end, which
 		// renews the machine's lease, stops all that is there of the loan.
 		// (Direct orders renew nothing.)
@@ -364,12 +375,11 @@
 	m.Seq = math.MaxUint64
 	m.Touch()
 	var events []Event
-	for _, key := range m.Keys() {
-		run := m.Runs[key]
+	for run := range m.All() {
 		if !run.MayBeThere() && !run.Halt {
 			continue
 		}
-		delete(m.Runs, key)
+		delete(m.Runs, run.RunKey)
 		if !run.Over() {
 			events = append(events, Event{run, Vanished})
 		}
