Blame: sick machines and mistaken jobs are told apart by who fails with whom

Change: package blame weighs both reasons over all failures of a part; a mistaken job is tried one task at a time, ever more rarely, and rents, moves and stops nothing; a machine in doubt tries one task; verdicts go with the progress record to other parts and the next owner.

--- a/internal/part/job.go
+++ b/internal/part/job.go
@@ -61,8 +61,9 @@
 	W       string   `cbor:"w"`
 	Done    [][2]int `cbor:"d"` // ranges of finished tasks, ends included
 	Running int      `cbor:"r"`
-	On      []string `cbor:"o"` // machines of the part that it may be on
-	All     bool     `cbor:"a"` // it may be on any of them
+	On      []string `cbor:"o"`           // machines of the part that it may be on
+	All     bool     `cbor:"a"`           // it may be on any of them
+	Against float64  `cbor:"x,omitempty"` // that it is mistaken, as log odds of this part's failures
 }
 
 // MachineRecord is what the ledger keeps of a machine, in a Roster.
@@ -172,6 +173,9 @@
 	startedAt time.Duration // when some of it was last started here
 
 	failedOn map[string]int           // machines on which a task of it failed
+	against  map[int]float64          // what other parts' owners hold against it, and this one's before
+	mistaken bool                     // likely: one task at a time is tried
+	probes   int                      // of them, that failed since
 	avoid    map[string]time.Duration // machines not to be used before
 	notTo    time.Duration            // start nothing before
 	why      string                   // why it waits, for operators
@@ -189,7 +193,7 @@
 
 func newWork(rec *JobRecord, stamp uint64, now time.Duration) *Work {
 	w := &Work{Rec: rec, Stamp: stamp, state: make([]uint8, rec.Job.Tasks), left: rec.Job.Tasks,
-		runs: map[worker.Task]*placement{}, strays: map[*worker.Run]*Machine{}, queuedAt: now, failedOn: map[string]int{}, avoid: map[string]time.Duration{}}
+		runs: map[worker.Task]*placement{}, strays: map[*worker.Run]*Machine{}, queuedAt: now, failedOn: map[string]int{}, against: map[int]float64{}, avoid: map[string]time.Duration{}}
 	if rec.Loan != nil {
 		w.permit, w.placedAt = &loan.Permit{}, now
 	}
--- a/internal/part/makeroom.go
+++ b/internal/part/makeroom.go
@@ -38,7 +38,7 @@
 	left := 0.0 // cores that may yet be stopped in this pass
 	for _, w := range q {
 		j := &w.Rec.Job
-		if w.idle == 0 || w.gang() || w.service() || w.borrowed() || w.ending {
+		if w.idle == 0 || w.gang() || w.service() || w.borrowed() || w.ending || w.mistaken {
 			continue
 		}
 		estimate := p.estimate(j).Seconds()
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -9,6 +9,7 @@
 	"sort"
 	"time"
 
+	"curlewspool/internal/blame"
 	"curlewspool/internal/ledger"
 	"curlewspool/internal/settings"
 	"curlewspool/internal/wire"
@@ -60,9 +61,10 @@
 	lent     time.Duration // being emptied for another part until then
 	lending  bool
 	draining bool
-	fullTo   time.Duration   // refused a start: nothing more before
-	strikes  map[string]bool // jobs that failed here since one ended well
-	fails    int             // tasks, likewise
+	fullTo   time.Duration // refused a start: nothing more before
+	sick     bool          // likely: one task at a time is tried
+	failedAt time.Duration // when a task failed here last
+	tryAt    time.Duration // the next try, if it is sick
 	images   map[string]bool
 }
 
@@ -85,6 +87,7 @@
 	borrowed int        // works that are borrowed
 	since    time.Duration
 
+	blame    *blame.Book
 	head     *Work // it waits and is reserved for
 	lastPass time.Duration
 	corr     map[string]float64 // by class: seen run time over estimate
@@ -100,7 +103,8 @@
 // may have renewed a worker's lease.
 func New(k int, token uint64, h Host, guard func() wire.Cond, bound time.Duration) *Part {
 	p := &Part{K: k, Token: token, Machines: map[string]*Machine{}, Works: map[string]*Work{}, h: h,
-		bound: bound, since: h.Now(), dirty: true, corr: map[string]float64{}}
+		bound: bound, since: h.Now(), dirty: true, corr: map[string]float64{},
+		blame: blame.New(blame.Prior{Mistaken: h.Settings().Blame.Mistaken, Sick: h.Settings().Blame.Sick, Accident: h.Settings().Blame.Accident})}
 	p.guard = func() wire.Cond {
 		if p.closed {
 			return wire.Cond{Key: guard().Key, Stamp: never}
@@ -180,6 +184,7 @@
 func (p *Part) OnProgress(id string, k int, pr *Progress) {
 	if w := p.Works[id]; w != nil && pr != nil {
 		w.absorb(pr, p.K)
+		p.hearAgainst(w, k, pr.Against)
 		if k == p.K && !w.writing { // else the write's end says what is stored
 			w.stored = reach{pr.All, map[string]bool{}}
 			for _, m := range pr.On {
@@ -200,6 +205,7 @@
 		if m != nil {
 			delete(p.Machines, id)
 			p.order = nil
+			p.blame.Gone(id)
 			for run := range m.All() {
 				m.Drop(run)
 				if !run.Over() {
@@ -210,7 +216,7 @@
 		return
 	}
 	if m == nil {
-		m = &Machine{Machine: worker.New(id, p.Token, max(p.bound, p.h.Now())), strikes: map[string]bool{},
+		m = &Machine{Machine: worker.New(id, p.Token, max(p.bound, p.h.Now())),
 			images: map[string]bool{}, idleAt: p.h.Now()}
 		m.Address, m.Type, m.Zone, m.Spot = rec.Address, rec.Type, rec.Zone, rec.Spot
 		p.Machines[id], p.order = m, nil
@@ -245,6 +251,7 @@
 		p.borrowed--
 	}
 	delete(p.Works, w.Rec.Job.ID)
+	p.blame.Over(w.Rec.Job.ID)
 	p.queued = nil
 	if p.head == w {
 		p.head = nil
@@ -377,7 +384,7 @@
 		if run.Began > 0 {
 			p.learn(&w.Rec.Job, p.h.Now()-run.Began)
 		}
-		m.strikes, m.fails = map[string]bool{}, 0
+		p.endedWell(w, m, run)
 		p.taskDone(w, run)
 		return
 	}
@@ -395,32 +402,6 @@
 	p.release(w, run)
 }
 
-// failed weighs an error: the machine's fault, or the job's?
-func (p *Part) failed(w *Work, m *Machine, now time.Duration) {
-	w.failedOn[m.ID]++
-	n := w.failedOn[m.ID]
-	works := w.left < w.Rec.Job.Tasks // somewhere, in any part
-	if !works && len(w.failedOn) >= 3 {
-		// It fails everywhere: the job's fault, not the machines'. It is
-		// tried ever more rarely until its user cancels it.
-		for id := range w.failedOn {
-			if o := p.Machines[id]; o != nil {
-				delete(o.strikes, w.Rec.Job.ID)
-			}
-		}
-		w.notTo = now + p.report()*time.Duration(min(20, len(w.failedOn)+n))
-		return
-	}
-	// Elsewhere first; a machine that fails all it starts would otherwise get
-	// the job's tasks again and again, being always free.
-	w.avoid[m.ID] = now + p.report()<<min(n, 6)
-	m.strikes[w.Rec.Job.ID] = true
-	m.fails++
-	if len(m.strikes) >= 2 || works && m.fails >= 3 {
-		p.retire(m, "faulty")
-	}
-}
-
 func (p *Part) report() time.Duration {
 	return world.Seconds(p.h.Settings().Deployment.Workers.Report)
 }
@@ -557,6 +538,7 @@
 		}
 	}
 	every := p.saveEvery(active)
+	p.judge(now)
 	for _, w := range p.works() {
 		if p.half(w) {
 			slog.Info("part: half a gang is started anew", "part", p.K, "job", w.Rec.Job.ID, "there", w.nplaced)
@@ -636,7 +618,7 @@
 			built, w.writing, w.dirty, w.writtenAt = true, true, false, p.h.Now()
 			ended = append(ended[:0], w.ended...)
 			limit := p.listLimit()
-			pr := &Progress{W: nonce, Done: w.ranges(p.K, limit), Running: w.nplaced}
+			pr := &Progress{W: nonce, Done: w.ranges(p.K, limit), Running: w.nplaced, Against: p.blame.Against(id)}
 			next = p.reachOf(w, limit)
 			pr.All = next.all
 			for m := range next.on {
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -88,6 +88,9 @@
 	if t == nil || !p.usable(m, now) {
 		return nil
 	}
+	if m.onTrial(now) {
+		return nil
+	}
 	r := &m.room
 	if m.version != m.Version || r.t != t {
 		m.version = m.Version
@@ -197,8 +200,11 @@
 			continue
 		case w.borrowed() && !p.permitted(w, now):
 			continue
-		case now < w.notTo:
+		case now < w.notTo || w.mistaken && w.nplaced > 0:
 			w.why = "its last start failed"
+			if w.mistaken {
+				w.why = "it fails on every machine: one task at a time is tried"
+			}
 			continue
 		case w.gang() && (w.broken || w.halting || w.nplaced > 0):
 			w.why = "its last attempt is being cleared"
@@ -292,7 +298,7 @@
 	for _, w := range q {
 		j := &w.Rec.Job
 		full := p.start(w, rooms, now)
-		if full || p.head != nil {
+		if full || p.head != nil || w.mistaken {
 			continue
 		}
 		if w.borrowed() {
@@ -356,6 +362,9 @@
 	if j.GPUs > 0 {
 		n = int(min(float64(n), math.Floor(tg/j.GPUs+eps)))
 	}
+	if w.mistaken && !w.gang() {
+		n = min(n, 1)
+	}
 	if n <= 0 || w.gang() && n < j.Tasks {
 		w.why = "its team's limit is reached"
 		return false
@@ -363,7 +372,7 @@
 	fits := make([]*room, 0, len(rooms))
 	total := 0
 	for _, r := range rooms {
-		if r.fits(j) && now >= w.avoid[r.m.ID] && p.allowed(r.m, j) && p.backfills(r, j, now) && !p.kept(r, w, now) {
+		if r.fits(j) && !(r.m.sick && w.gang()) && now >= w.avoid[r.m.ID] && p.allowed(r.m, j) && p.backfills(r, j, now) && !p.kept(r, w, now) {
 			fits = append(fits, r)
 			total++
 		}
@@ -433,10 +442,12 @@
 			if only != "" && r.m.Zone != only {
 				continue
 			}
-			for len(plan) < n && r.fits(j) && p.backfills(r, j, now) && !p.kept(r, w, now) {
+			one := r.m.sick // see fault.go
+			for k := 0; len(plan) < n && !(one && k > 0) && r.fits(j) && p.backfills(r, j, now) && !p.kept(r, w, now); {
 				if j.Spread && count[r.m.Zone] >= Half(j) {
 					break
 				}
+				k++
 				count[r.m.Zone]++
 				r.take(j)
 				r.spareC -= j.Cores
@@ -617,7 +628,7 @@
 	}
 	var options []option
 	for _, r := range rooms {
-		if !p.allowed(r.m, j) || now < w.avoid[r.m.ID] {
+		if !p.allowed(r.m, j) || now < w.avoid[r.m.ID] || r.m.sick {
 			continue
 		}
 		type end struct {
@@ -775,7 +786,7 @@
 	}
 	var plans []plan
 	for _, r := range rooms {
-		if !p.allowed(r.m, j) || p.kept(r, w, now) || now < w.avoid[r.m.ID] {
+		if !p.allowed(r.m, j) || p.kept(r, w, now) || now < w.avoid[r.m.ID] || r.m.sick {
 			continue
 		}
 		var vs []*placement
@@ -874,8 +885,8 @@
 	var gaps []*mesh.Gap
 	queued := 0
 	for _, w := range p.works() {
-		if w.idle == 0 || w.ending || w.borrowed() {
-			continue // nothing is rented, and no job goes elsewhere, for what is borrowed
+		if w.idle == 0 || w.ending || w.borrowed() || w.mistaken {
+			continue // nothing is rented, and no job goes elsewhere, for what is borrowed or fails
 		}
 		queued += w.idle
 		s.Add(min(w.Rec.Rank, top), dispatch.Work(&w.Rec.Job, w.idle))
@@ -904,7 +915,7 @@
 		if r.cores <= eps || len(out.Free) >= freeTold {
 			break
 		}
-		if r.m.reserved != nil {
+		if r.m.reserved != nil || r.m.sick {
 			continue // for the head; the others are free for what does not delay it
 		}
 		out.Free = append(out.Free, &mesh.Room{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot, Cores: r.cores, Gpus: r.gpus, MemoryGb: r.mem,
@@ -989,7 +1000,7 @@
 		if t := p.h.Settings().Team(j.Team); t != nil && t.Limited() {
 			continue
 		}
-		if now-w.queuedAt < p.report()/8 || w.borrowed() && now-w.queuedAt < 2*p.report() {
+		if w.mistaken || now-w.queuedAt < p.report()/8 || w.borrowed() && now-w.queuedAt < 2*p.report() {
 			continue // what is borrowed needs its home's word anew in another part
 		}
 		for c, k := range w.Rec.Parts {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -93,6 +93,7 @@
 	Dispatch DispatchSettings `ini:"dispatch"`
 	Rent     RentSettings     `ini:"rent"`
 	Grants   GrantSettings    `ini:"grants"`
+	Blame    BlameSettings    `ini:"blame"`
 }
 
 // RankSettings are the leader's (DESIGN: max and N).
@@ -124,6 +125,15 @@
 	LateBoots    float64 `ini:"late_boots"`     // boot times until one is given up
 }
 
+// BlameSettings say what failures are put down to.
+type BlameSettings struct {
+	Mistaken float64 `ini:"mistaken"`
+	Sick     float64 `ini:"sick"`
+	Accident float64 `ini:"accident"`
+	Hold     float64 `ini:"hold"`
+	Return   float64 `ini:"return"`
+}
+
 // GrantSettings set how long ownership lasts, as shares of lease_s.
 type GrantSettings struct {
 	Life   float64 `ini:"life"`
@@ -139,6 +149,7 @@
 		Dispatch: DispatchSettings{ChunksPerPart: 1, ChunkMin: 4},
 		Rent:     RentSettings{IdleBoots: 1.5, OwnIdleBoots: 10, LateBoots: 5},
 		Grants:   GrantSettings{Life: 1, Renew: 0.08, Absent: 0.5},
+		Blame:    BlameSettings{Mistaken: 0.02, Sick: 0.005, Accident: 0.001, Hold: 0.9, Return: 0.99},
 	}
 }
 
@@ -245,6 +256,11 @@
 		{"[grants] life", o.Grants.Life, 0.2, 1},
 		{"[grants] renew", o.Grants.Renew, 0.01, 0.3},
 		{"[grants] absent", o.Grants.Absent, 0.05, 1},
+		{"[blame] mistaken", o.Blame.Mistaken, 1e-6, 0.5},
+		{"[blame] sick", o.Blame.Sick, 1e-6, 0.5},
+		{"[blame] accident", o.Blame.Accident, 1e-6, 0.5},
+		{"[blame] hold", o.Blame.Hold, 0.5, 0.999999},
+		{"[blame] return", o.Blame.Return, 0.5, 0.999999},
 	} {
 		if !(b.v >= b.lo && b.v <= b.hi) {
 			return fmt.Errorf("%s is %v, must be from %v to %v", b.name, b.v, b.lo, b.hi)
--- a/internal/standin/days_test.go
+++ b/internal/standin/days_test.go
@@ -331,6 +331,33 @@
 	}
 }
 
+// Two jobs that were submitted with a mistake fail wherever they are tried, while one
+// machine is sick: it is returned, no other is, the jobs are tried ever more rarely,
+// and what else there is runs as if they were not there. Found on an operations day,
+// on which mistaken jobs had five healthy machines returned.
+func TestMistakenJobs(t *testing.T) {
+	s := day(t, "mistaken-jobs", 19, 150, func(s *Sim) {
+		w := fleet(s, 8, 0)
+		w[2].Faulty = true
+		s.Mistaken = map[string]bool{"wk-1": true, "wk-2": true}
+		s.Submit(5, Spec("wk-1", wire.Array, 40, 1, 20, nil))
+		s.Submit(6, Spec("wk-2", wire.Array, 12, 1, 20, nil))
+		for i, id := range []string{"wk-3", "wk-4", "wk-5", "wk-6"} {
+			s.Submit(7+6*float64(i), Spec(id, wire.Array, 16, 1, 8, nil))
+		}
+		s.Abort(90, "wk-1")
+		s.Abort(90, "wk-2")
+	})
+	told(t, s, wire.Done, "wk-3", "wk-4", "wk-5", "wk-6")
+	told(t, s, wire.Withdrawn, "wk-1", "wk-2")
+	if n := strings.Count(s.Text(), "deleted i-003"); n != 1 {
+		t.Errorf("the sick machine was deleted %d times, want once", n)
+	}
+	if n := len(s.Failed); n > 60 {
+		t.Errorf("%d starts failed of 52 tasks of mistaken jobs in 85 s", n)
+	}
+}
+
 // A gang larger than any part: machines are lent to its part, and it starts
 // as a whole though small work keeps all parts busy.
 func TestGangAcrossParts(t *testing.T) {
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -84,6 +84,8 @@
 	told     map[string]string
 	endedAt  map[string]time.Duration // when a user was told a job's end
 	finished map[worker.Task]bool
+	Mistaken map[string]bool    // jobs that fail on every machine
+	Failed   []worker.Task      // starts that ended with an error
 	Overruns map[string]float64 // by class: how many times its estimate an array's task runs; 0: about once
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -298,7 +298,8 @@
 	}
 	t.state = wire.Pulling
 	w.then(t, time.Duration(job.ImageGb/w.typ.Fetch*float64(time.Second)), func() {
-		if w.Faulty {
+		if w.Faulty || w.s.Mistaken[key.Job] {
+			w.s.Failed = append(w.s.Failed, key)
 			w.end(t, wire.Failed)
 			return
 		}
