Part: of victims that lose alike, the youngest job's are stopped

Change: victims whose loss for what they give is about the same are taken from the job accepted last.

--- a/internal/part/makeroom.go
+++ b/internal/part/makeroom.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"math"
 	"sort"
 	"time"
 
@@ -164,7 +165,14 @@
 			list = append(list, victim{s, won, lost})
 		}
 	}
-	sort.SliceStable(list, func(a, b int) bool { return list[a].lost*list[b].won < list[b].lost*list[a].won })
+	// Of those that lose about the same, the youngest job's: if each job loses some,
+	// none of them ends. (A guest's jobs done were one of six instead of three.)
+	sort.SliceStable(list, func(a, b int) bool {
+		if x, y := math.Round(8*list[a].lost/list[a].won), math.Round(8*list[b].lost/list[b].won); x != y {
+			return x < y
+		}
+		return p.Works[list[a].run.Job].Rec.At > p.Works[list[b].run.Job].Rec.At
+	})
 	stopped, n := 0.0, 0
 	for _, v := range list {
 		if short <= 0 || stopped >= most {
