curlew: addresses are checked, a wait says why, dev tells where tasks finished

Change: HOST:PORT is checked before anything is asked; why a question is repeated goes to standard error every few seconds; clusters are listed by name. Tests for the first two.

--- a/cmd/curlew/dev.go
+++ b/cmd/curlew/dev.go
@@ -11,6 +11,7 @@
 	"os/signal"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -226,8 +227,8 @@
 			r.Wrong = append(r.Wrong, fmt.Sprintf("%s is done, machines finished %d of its %d tasks", id, r.Jobs[id], want))
 		}
 	}
-	say("%d jobs done in %.0f s; machines saw %d tasks start %d times, %d finished once %v, %d started again with their result kept", len(tasks), time.Since(begun).Seconds(),
-		r.Tasks, r.Starts, r.Finished, r.By, r.Kept)
+	say("%d jobs done in %.0f s; machines saw %d tasks start %d times, %d finished once (%s), %d started again with their result kept", len(tasks), time.Since(begun).Seconds(),
+		r.Tasks, r.Starts, r.Finished, places(r.By), r.Kept)
 	if len(r.Wrong) > 0 {
 		return r, errors.New(r.Wrong[0])
 	}
@@ -278,3 +279,16 @@
 	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
 	return c
 }
+
+// places tells how many tasks finished in each cluster.
+func places(by map[string]int) string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(by)) {
+		n := name
+		if n == "" {
+			n = "here"
+		}
+		out = append(out, fmt.Sprintf("%s %d", n, by[name]))
+	}
+	return strings.Join(out, ", ")
+}
--- a/cmd/curlew/jobs.go
+++ b/cmd/curlew/jobs.go
@@ -40,12 +40,21 @@
 	c.Flags().DurationVar(&a.patience, "patience", time.Minute, "how long a question is repeated")
 }
 
-func (a *asker) client() (*client.Client, error) {
+// client makes one that says on errs, every few seconds, why it still waits.
+func (a *asker) client(errs io.Writer) (*client.Client, error) {
 	c, err := client.New(a.to)
-	if err == nil {
-		c.Patience = a.patience
+	if err != nil {
+		return nil, err
+	}
+	c.Patience = a.patience
+	said, first := "", time.Time{}
+	c.Again = func(why string, left time.Duration) {
+		if why != said || time.Since(first) > 5*time.Second {
+			said, first = why, time.Now()
+			fmt.Fprintf(errs, "%s; asking again for up to %v\n", why, left.Round(time.Second))
+		}
 	}
-	return c, err
+	return c, nil
 }
 
 func (a *asker) print(out io.Writer, s *wire.JobState) error {
@@ -80,7 +89,7 @@
 		Use: "submit", Short: "Submit a job", Args: cobra.NoArgs,
 		Example: "  curlew submit --to 127.0.0.1:8080 --tasks 20 --cores 1 --estimate 5 --wait",
 		RunE: func(c *cobra.Command, _ []string) error {
-			cl, err := a.client()
+			cl, err := a.client(c.ErrOrStderr())
 			if err != nil {
 				return err
 			}
@@ -177,7 +186,7 @@
 func each(a *asker, use, short string, ask func(*cobra.Command, *client.Client, string) (*wire.JobState, error)) *cobra.Command {
 	c := &cobra.Command{Use: use + " JOB...", Short: short, Args: cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, ids []string) error {
-			cl, err := a.client()
+			cl, err := a.client(c.ErrOrStderr())
 			if err != nil {
 				return err
 			}
--- a/cmd/curlew/main_test.go
+++ b/cmd/curlew/main_test.go
@@ -27,6 +27,8 @@
 	t.Setenv("CURLEW_TO", "")
 	for _, c := range []struct{ args, want string }{
 		{"submit", "no address of a cluster"},
+		{"status --to x wk-1", "\"x\" is no address of a cluster"},
+		{"wait --to 127.0.0.1:0 wk-1", "is no address of a cluster"},
 		{"submit --to 127.0.0.1:1 --shape tree", "must be one of array, gang, service"},
 		{"submit --to 127.0.0.1:1 --rank top", "must be one of high, low, normal, prod"},
 		{"submit --to 127.0.0.1:1 --id x", "the job is not valid: id"},
@@ -56,6 +58,21 @@
 	}
 }
 
+// Who waits for a cluster that does not answer is told so meanwhile.
+func TestWaitingIsTold(t *testing.T) {
+	c := command()
+	var errs bytes.Buffer
+	c.SetErr(&errs)
+	c.SetOut(&errs)
+	c.SetArgs([]string{"status", "--to", "127.0.0.1:1", "--patience", "1500ms", "wk-000001"})
+	if err := c.Execute(); err == nil || !strings.Contains(err.Error(), "given up after 1.5s: no answer from 127.0.0.1:1") {
+		t.Errorf("ended with %v", err)
+	}
+	if !strings.Contains(errs.String(), "no answer from 127.0.0.1:1; asking again") {
+		t.Errorf("nothing was said meanwhile: %q", errs.String())
+	}
+}
+
 // Keys are made, shown, and not overwritten; what machines saw is judged, and a
 // refused file is told with its reasons, for people and as JSON.
 func TestCommands(t *testing.T) {
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -25,15 +26,23 @@
 	// Patience bounds the repeats of one question, Pause is the least time
 	// between two of them.
 	Patience, Pause time.Duration
+	// Again is told why a question is repeated and for how long it may yet be; nil:
+	// nobody.
+	Again func(why string, left time.Duration)
 }
 
 // New makes a client of a cluster; to is one address or several with commas.
 func New(to string) (*Client, error) {
 	c := &Client{Patience: time.Minute, Pause: time.Second}
 	for _, a := range strings.Split(to, ",") {
-		if a = strings.TrimSpace(a); a != "" {
-			c.addrs = append(c.addrs, a)
+		if a = strings.TrimSpace(a); a == "" {
+			continue
 		}
+		host, port, err := net.SplitHostPort(a)
+		if n, bad := strconv.ParseUint(port, 10, 16); err != nil || host == "" || bad != nil || n == 0 {
+			return nil, fmt.Errorf("%q is no address of a cluster: want HOST:PORT", a)
+		}
+		c.addrs = append(c.addrs, a)
 	}
 	if len(c.addrs) == 0 {
 		return nil, errors.New("no address of a cluster: give --to HOST:PORT or set CURLEW_TO")
@@ -75,6 +84,7 @@
 			_ = wire.Decode(body, &p)
 			return nil, &Refused{status, p.Error}
 		case 0:
+			last = "no answer from " + c.addrs[c.next%len(c.addrs)]
 			c.next++
 		default:
 			_ = wire.Decode(body, &p)
@@ -84,6 +94,9 @@
 		if time.Now().Add(wait).After(end) {
 			return nil, fmt.Errorf("given up after %v: %s", c.Patience, last)
 		}
+		if c.Again != nil {
+			c.Again(last, time.Until(end))
+		}
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
