Blame: evidence passes on to the next owner and from him to the others

Change: what the owner before held is inherited as one's own; a test that fails on the code before (the record it writes).

--- a/internal/blame/blame.go
+++ b/internal/blame/blame.go
@@ -137,6 +137,15 @@
 	b.stale = true
 }
 
+// Inherit takes what the owner before held against a job: it is this one's now, to
+// keep and to tell on.
+func (b *Book) Inherit(job string, odds float64) {
+	if odds > 0 {
+		j := side(b.jobs, job)
+		j.own, b.stale = bounded(max(j.own, odds)), true
+	}
+}
+
 // Hear sets what the owners of a job's other parts hold against it, as log odds.
 func (b *Book) Hear(job string, odds float64) {
 	odds = bounded(odds)
--- a/internal/blame/blame_test.go
+++ b/internal/blame/blame_test.go
@@ -79,6 +79,10 @@
 	if p := b.Machine("A"); p != 0 {
 		t.Errorf("a new machine of an old name is in doubt (%.3f)", p)
 	}
+	b.Inherit("d", 9)
+	if p, a := b.Job("d"), b.Against("d"); p < 0.9 || a < 8.9 {
+		t.Errorf("inherited: likely %.3f, told on as own evidence %.3f", p, a)
+	}
 	b.Hear("c", 9)
 	if p, a := b.Job("c"), b.Against("c"); p < 0.9 || a > 0 {
 		t.Errorf("heard from others: likely %.3f, told on as own evidence %.3f", p, a)
--- a/internal/part/fault.go
+++ b/internal/part/fault.go
@@ -44,9 +44,16 @@
 }
 
 // hearAgainst takes what the owner of part k holds against a job; of this part, the
-// owner before.
+// owner before. (Heard from him like from another, it was gone with the first record
+// that the new owner wrote, and all the job's tasks were tried once more.)
 func (p *Part) hearAgainst(w *Work, k int, odds float64) {
-	if k == p.K && w.writtenAt > 0 || w.against[k] == odds {
+	if k == p.K {
+		if w.writtenAt == 0 {
+			p.blame.Inherit(w.Rec.Job.ID, odds)
+		}
+		return
+	}
+	if w.against[k] == odds {
 		return
 	}
 	w.against[k] = odds
--- a/internal/part/job.go
+++ b/internal/part/job.go
@@ -173,7 +173,7 @@
 	startedAt time.Duration // when some of it was last started here
 
 	failedOn map[string]int           // machines on which a task of it failed
-	against  map[int]float64          // what other parts' owners hold against it, and this one's before
+	against  map[int]float64          // what other parts' owners hold against it
 	mistaken bool                     // likely: one task at a time is tried
 	probes   int                      // of them, that failed since
 	avoid    map[string]time.Duration // machines not to be used before
