--- /dev/null
+++ b/internal/part/moves.go
@@ -0,0 +1,230 @@
+package part
+
+import (
+	"log/slog"
+	"sort"
+	"time"
+
+	"curlewspool/internal/dispatch"
+	"curlewspool/internal/ledger"
+	"curlewspool/internal/mesh"
+	"curlewspool/internal/wire"
+)
+
+// This file tells others what the part has, and moves work and machines to other parts.
+
+// freeTold bounds the free rooms told, largest first, so that a status stays
+// a few KB with any number of machines.
+const freeTold = 64
+
+// Status is told to all members at each heartbeat.
+func (p *Part) Status(top int) (*mesh.PartStatus, []*mesh.Gap) {
+	now := p.h.Now()
+	s := dispatch.NewSlots(top)
+	var gaps []*mesh.Gap
+	queued := 0
+	for _, w := range p.works() {
+		if w.idle == 0 || w.ending || w.borrowed() || w.mistaken {
+			continue // nothing is rented, and no job goes elsewhere, for what is borrowed or fails
+		}
+		queued += w.idle
+		s.Add(min(w.Rec.Rank, top), dispatch.Work(&w.Rec.Job, w.idle))
+		if now >= w.notTo && len(gaps) < 64 && !w.broken && !w.halting {
+			starts := 0.0
+			if w.starts > now {
+				starts = (w.starts - now).Seconds()
+			}
+			gaps = append(gaps, &mesh.Gap{StartsS: starts,
+				Job: w.Rec.Job.ID, Tasks: int32(w.idle), WaitedS: (now - w.queuedAt).Seconds(),
+				Part: int32(p.K), Short: int32(p.short(w, now))})
+		}
+	}
+	out := &mesh.PartStatus{Part: int32(p.K), Load: s.Load}
+	for _, c := range s.Count {
+		out.Count = append(out.Count, int32(c))
+	}
+	for _, m := range p.machines() {
+		if m.retiring != "" {
+			out.Retiring = append(out.Retiring, m.ID)
+		}
+	}
+	rooms := p.rooms(now)
+	sort.SliceStable(rooms, func(a, b int) bool { return rooms[a].cores > rooms[b].cores })
+	for _, r := range rooms {
+		if r.cores <= eps || len(out.Free) >= freeTold {
+			break
+		}
+		if r.m.reserved != nil || r.m.sick {
+			continue // for the head; the others are free for what does not delay it
+		}
+		out.Free = append(out.Free, &mesh.Room{Type: r.m.Type, Zone: r.m.Zone, Spot: r.m.Spot, Cores: r.cores, Gpus: r.gpus, MemoryGb: r.mem,
+			Machine: r.m.ID, Empty: len(r.m.Runs) == 0, Own: r.m.rec.Own, Whole: r.cores+r.softC >= r.t.Cores-eps})
+	}
+	slog.Debug("part: status", "part", p.K, "machines", len(p.Machines), "jobs", len(p.Works), "queued", queued, "free", out.Free, "head", p.head != nil)
+	return out, gaps
+}
+
+// short counts the tasks of a gang for which the part's machines, were they
+// empty, have no room: the leader has machines lent to the part.
+func (p *Part) short(w *Work, now time.Duration) int {
+	if !w.gang() {
+		return 0
+	}
+	j := &w.Rec.Job
+	zone := map[string]int{}
+	for _, m := range p.machines() {
+		t := p.h.TypeOf(m.Type)
+		if !p.allowed(m, j) || m.retiring != "" || now-m.LastHeard > 3*p.report() || m.lent > now {
+			continue
+		}
+		zone[m.Zone] += t.Fits(j, j.Tasks)
+	}
+	return max(0, j.Tasks-Holds(j, zone))
+}
+
+// Holds gives how many of a job's tasks may be together in the room that zones
+// have: in the best of them for a job in one zone, at most half of the tasks (the
+// larger half) in each for one apart. (Without the latter a gang apart went to and
+// fro between parts of one zone each for ever, as each seemed to have room.)
+func Holds(j *wire.Job, room map[string]int) int {
+	sum, most := 0, 0
+	for _, k := range room {
+		most = max(most, k)
+		if j.Spread {
+			k = min(k, Half(j))
+		}
+		sum += k
+	}
+	if j.OneZone {
+		return most
+	}
+	return sum
+}
+
+// Half is the most tasks that a job apart may have in one zone.
+func Half(j *wire.Job) int { return (j.Tasks + 1) / 2 }
+
+// Lend hands a machine over as soon as nothing is, or may be, on it.
+func (p *Part) Lend(id string, to int) {
+	now := p.h.Now()
+	m := p.Machines[id]
+	if m == nil || to == p.K || m.retiring != "" {
+		return
+	}
+	m.lent = now + p.report() // nothing new; the leader asks again
+	if len(m.Runs) > 0 || !m.Resolved || m.Doubtful() || m.lending {
+		return
+	}
+	m.lending = true
+	p.h.Reassign(id, to, p.guard,
+		func() bool { return p.Machines[id] == m && len(m.Runs) == 0 && !m.Doubtful() },
+		func(ok bool) {
+			m.lending = false
+			if ok {
+				slog.Info("part: machine lent", "machine", id, "from", p.K, "to", to)
+			}
+		})
+}
+
+// Move hands a queued chunk to a part that has free room for it now, beside
+// what its head is reserved; others are the parts' latest statuses. At most one
+// move is under way.
+func (p *Part) Move(others []*mesh.PartStatus) {
+	now := p.h.Now()
+	if !p.h.MayLaunch() {
+		return
+	}
+	for _, w := range p.queue(now) {
+		j := &w.Rec.Job
+		if t := p.h.Settings().Team(j.Team); t != nil && t.Limited() {
+			continue
+		}
+		if w.mistaken || now-w.queuedAt < p.report()/8 || w.borrowed() && now-w.queuedAt < 2*p.report() {
+			continue // what is borrowed needs its home's word anew in another part
+		}
+		for c, k := range w.Rec.Parts {
+			if k != p.K {
+				continue
+			}
+			n, on := w.chunk(c)
+			if on || n == 0 {
+				continue
+			}
+			for _, o := range others {
+				if int(o.Part) != p.K && p.roomFor(w, n, o, now) {
+					p.move(w, c, int(o.Part))
+					return
+				}
+			}
+		}
+	}
+}
+
+// roomFor counts the tasks that fit into another part's free room, and takes
+// them from the copy of its status, so that the next move sees the rest.
+func (p *Part) roomFor(w *Work, n int, o *mesh.PartStatus, now time.Duration) bool {
+	j, zone := &w.Rec.Job, map[string]int{}
+	for _, f := range o.Free {
+		// Twice as long as it waits for kept machines here: it would else be sent
+		// to and fro, each part having had no time to start it.
+		t := p.h.TypeOf(f.Type)
+		zone[f.Zone] += min(n, RoomFor(p.h, j, f, t == nil || !p.stalled(w, t, 2, now)))
+	}
+	fit := Holds(j, zone)
+	want := n
+	if !w.gang() {
+		want = (n + 1) / 2
+	}
+	if fit < want {
+		return false
+	}
+	left := n
+	for _, f := range o.Free {
+		k := min(RoomFor(p.h, j, f, false), left)
+		f.Cores -= float64(k) * j.Cores
+		f.Gpus -= float64(k) * j.GPUs
+		f.MemoryGb -= float64(k) * j.Memory
+		left -= k
+	}
+	return true
+}
+
+func (p *Part) move(w *Work, c, to int) {
+	id := w.Rec.Job.ID
+	w.moving = true
+	l := p.h.Ledger()
+	l.Write(ledger.Soon, &ledger.Write{
+		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
+			if p.Works[id] != w || c >= len(w.Rec.Parts) || w.Rec.Parts[c] != p.K {
+				return nil, nil
+			}
+			if _, on := w.chunk(c); on {
+				return nil, nil
+			}
+			rec := *w.Rec
+			rec.W = nonce
+			rec.Parts = append([]int(nil), rec.Parts...)
+			rec.Parts[c] = to
+			return []wire.Cond{p.guard(), {Key: JobKey(id), Stamp: w.Stamp}}, []wire.Op{{Put: JobKey(id), Value: wire.Encode(&rec)}}
+		},
+		Done: func(ok bool, _ uint64) {
+			w.moving = false
+			p.dirty = true
+			if ok {
+				slog.Info("part: chunk moved to free room", "job", id, "chunk", c, "from", p.K, "to", to)
+				p.leave(w)
+			}
+		},
+	})
+}
+
+// Waiting says for each queued job why it waits.
+func (p *Part) Waiting() map[string]string {
+	out := map[string]string{}
+	for id, w := range p.Works {
+		if w.idle > 0 {
+			out[id] = w.why
+		}
+	}
+	return out
+}
