Money by cause, as the controllers count it; the head's own room as before

Change: each owner counts its machines' cores by what they do (ran, fetched, stopping, reserved, leaving, doubted, idle), the leader what boots and what is overdue.

--- a/cmd/curlew/look.go
+++ b/cmd/curlew/look.go
@@ -93,12 +93,13 @@
 	awayDesc    = prometheus.NewDesc("curlewspool_federation_away", "Chunks that are at partners", []string{"controller", "partner"}, nil)
 	borrowDesc  = prometheus.NewDesc("curlewspool_federation_borrowed", "Loans that are here", []string{"controller"}, nil)
 	submitDesc  = prometheus.NewDesc("curlewspool_submission_seconds", "Accepted submissions, by where their time went, since the process began", []string{"controller", "part"}, nil)
+	spentDesc   = prometheus.NewDesc("curlewspool_spent", "What machines cost since the controller began, of what it owned, by cause, in the catalog's unit of money", []string{"controller", "cause"}, nil)
 	busyDesc    = prometheus.NewDesc("curlewspool_busiest_per_second", "What the controller asked in its busiest ten seconds since it began, as a mean of a second", []string{"controller", "of"}, nil)
 	loanDesc    = prometheus.NewDesc("curlewspool_federation_events_total", "Loans by what became of them, as counted by this process", []string{"controller", "what"}, nil)
 )
 
 func (k *collector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{upDesc, liveDesc, machineDesc, waitingDesc, submitDesc, busyDesc, awayDesc, borrowDesc, loanDesc} {
+	for _, d := range []*prometheus.Desc{upDesc, liveDesc, machineDesc, waitingDesc, submitDesc, spentDesc, busyDesc, awayDesc, borrowDesc, loanDesc} {
 		ch <- d
 	}
 }
@@ -124,6 +125,9 @@
 			upTo, all := h.Buckets()
 			ch <- prometheus.MustNewConstHistogram(submitDesc, all, h.Sum, upTo, a, name)
 		}
+		for cause, v := range s.Spent {
+			ch <- prometheus.MustNewConstMetric(spentDesc, prometheus.CounterValue, v, a, cause)
+		}
 		gauge(busyDesc, s.Busiest.Requests, a, "state_requests")
 		gauge(busyDesc, s.Busiest.Changes, a, "state_changes")
 		gauge(busyDesc, s.Busiest.Cloud, a, "cloud_calls")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -299,6 +299,27 @@
 // rented: those take no more of them, empty, and are returned.
 func (f *Fleet) Spared() bool { return f.spared }
 
+// Spend adds what the machines that boot cost in a time: those that are in time, and
+// those that are overdue (see longBoot), whether they come after all or never.
+func (f *Fleet) Spend(took time.Duration, to part.Spent) {
+	now := f.w.Now()
+	for _, b := range f.booting {
+		t := f.types[b.typ]
+		if t == nil || b.found {
+			continue
+		}
+		price := t.Price
+		if b.spot {
+			price = t.Spot
+		}
+		cause := "boot"
+		if (now - b.since).Seconds() > longBoot*t.Boot {
+			cause = "overdue"
+		}
+		to[cause] += price * took.Hours()
+	}
+}
+
 // Coming is how many cores boot, and in how many seconds they should be up, on
 // average.
 func (f *Fleet) Coming() (cores, in float64) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,10 +61,12 @@
 	signed   time.Duration
 	pushing  int // direct orders under way
 
-	load   *metered
-	asks   map[uint64]func(*mesh.Answer)
-	askID  uint64
-	claims time.Duration
+	load               *metered
+	spent              part.Spent // since this controller began, of what it owned
+	spentAt, spentTold time.Duration
+	asks               map[uint64]func(*mesh.Answer)
+	askID              uint64
+	claims             time.Duration
 
 	demand   map[string][2]float64
 	demandAt time.Duration
@@ -81,7 +83,7 @@
 	w = load
 	n := &Node{w: w, s: s, load: load, names: s.Names(), types: map[string]*wire.MachineType{}, jobs: map[string]*part.JobRecord{},
 		progress: map[string]map[int]*part.Progress{}, machines: map[string]*part.MachineRecord{}, parts: map[int]*part.Part{},
-		cleaning: map[string]bool{}, orphans: map[string]bool{}, rosters: map[string][]string{}, enlist: newEnlist(), due: map[string][]float64{}, large: map[string]part.Large{}, peers: map[string]*peer{},
+		spent: part.Spent{}, cleaning: map[string]bool{}, orphans: map[string]bool{}, rosters: map[string][]string{}, enlist: newEnlist(), due: map[string][]float64{}, large: map[string]part.Large{}, peers: map[string]*peer{},
 		asks: map[uint64]func(*mesh.Answer){}, ranker: &dispatch.Ranker{Max: s.Rank.Max, Window: s.Rank.Window}}
 	for _, m := range s.Members {
 		n.peers[m.Name] = &peer{heard: -time.Hour, ready: -time.Hour, sign: -time.Hour}
@@ -315,6 +317,7 @@
 		st.Parts = append(st.Parts, ps)
 		st.Gaps = append(st.Gaps, gaps...)
 	})
+	n.spend(now)
 	n.learnSlots(st)
 	n.status = st
 	if n.leads() {
--- a/internal/node/rent.go
+++ b/internal/node/rent.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"log/slog"
+	"time"
 
 	"curlewspool/internal/fleet"
 	"curlewspool/internal/lead"
@@ -22,6 +24,25 @@
 	return p != nil && p.status != nil && n.heard(n.book.Owner(lead.Leader)) && p.status.Spared
 }
 
+// spend counts what this controller's machines, and as a leader those that boot, have
+// cost since it was asked last. What nobody owns meanwhile is nobody's.
+func (n *Node) spend(now time.Duration) {
+	took := min(now-n.spentAt, 4*n.heartbeat())
+	n.spentAt = now
+	n.eachPart(func(p *part.Part) {
+		if n.owns(p.K) != nil {
+			p.Spend(took, n.spent)
+		}
+	})
+	if n.leads() {
+		n.fleet.Spend(took, n.spent)
+	}
+	if now-n.spentTold >= time.Minute {
+		n.spentTold = now
+		slog.Info("node: spent", "by", n.spent.String())
+	}
+}
+
 // Coming is what each part may expect of the machines that boot, as the leader says.
 func (n *Node) Coming() (cores, in float64) {
 	o := n.book.Owner(lead.Leader)
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"maps"
+
 	"time"
 
 	"curlewspool/internal/federation"
@@ -62,6 +64,9 @@
 	Intake   string            `cbor:"intake" json:"intake"`
 	Submits  intake.Times      `cbor:"submits" json:"submits"`
 	Busiest  Load              `cbor:"busiest" json:"busiest_10_s"`
+	// Spent is what machines cost since the controller began, by cause, in the
+	// catalog's unit of money.
+	Spent part.Spent `cbor:"spent" json:"spent"`
 	// Federation is nil without partners.
 	Federation *federation.View `cbor:"federation,omitempty" json:"federation,omitempty"`
 }
@@ -77,7 +82,7 @@
 // Describe tells an operator what this controller owns and why jobs wait.
 func (n *Node) Describe() *State {
 	s := &State{Host: n.s.Name, Leader: n.book.Owner(lead.Leader), Ready: n.ready(), Parts: []PartState{}, Waiting: map[string]string{},
-		Jobs: len(n.jobs), Machines: len(n.machines), Intake: n.intake.String(), Submits: *n.intake.Times(), Busiest: n.load.load()}
+		Jobs: len(n.jobs), Machines: len(n.machines), Intake: n.intake.String(), Submits: *n.intake.Times(), Busiest: n.load.load(), Spent: maps.Clone(n.spent)}
 	n.eachPart(func(p *part.Part) {
 		s.Parts = append(s.Parts, PartState{p.K, p.Token, len(p.Machines), len(p.Works)})
 		for id, why := range p.Waiting() {
--- a/internal/part/makeroom.go
+++ b/internal/part/makeroom.go
@@ -72,7 +72,7 @@
 		left := *r // once what may be stopped is
 		left.cores, left.gpus, left.mem = r.cores+r.softC, r.gpus+r.softG, r.mem+r.softM
 		left.softC, left.softG, left.softM = 0, 0, 0
-		open[r.m] = !r.hard && now >= w.avoid[r.m.ID] && p.allowed(r.m, &w.Rec.Job) && (w == p.head || p.backfills(r, &w.Rec.Job, now)) && !p.kept(&left, w, now)
+		open[r.m] = !r.hard && now >= w.avoid[r.m.ID] && p.allowed(r.m, &w.Rec.Job) && p.backfills(r, &w.Rec.Job, now) && !p.kept(&left, w, now)
 	}
 	return open
 }
