Simplify: one price by kind, one loss of a stop, the leader's word, anywhere said once

Change: MachineType.Rate in place of three choices of price; stopLoses for both who preempt; room.freed for both who ask what may be stopped; leaderSays for Spared and Coming; overdue has one condition; lease() once. That a job may be anywhere is said where its reach is worked out, not at each reader. What boots is asked once a pass, and nothing is worked out for arrays once no more may be stopped.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -308,15 +308,11 @@
 		if t == nil || b.found {
 			continue
 		}
-		price := t.Price
-		if b.spot {
-			price = t.Spot
-		}
 		cause := "boot"
-		if (now - b.since).Seconds() > longBoot*t.Boot {
+		if b.slow(t, now) {
 			cause = "overdue"
 		}
-		to[cause] += price * took.Hours()
+		to[cause] += t.Rate(b.spot) * took.Hours()
 	}
 }
 
@@ -486,6 +482,11 @@
 // long, or never comes up.
 const longBoot = 1.5
 
+// slow: it takes longer than machines of its type usually do.
+func (b *booting) slow(t *wire.MachineType, now time.Duration) bool {
+	return (now - b.since).Seconds() > longBoot*t.Boot
+}
+
 // overduePays is how much dearer an option may be whose machines come up in time.
 const overduePays = 0.25
 
@@ -497,7 +498,7 @@
 func (f *Fleet) overdue(up int, now time.Duration) map[string]bool {
 	var ids []string
 	for id, b := range f.booting {
-		if t := f.types[b.typ]; t != nil && (now-b.since).Seconds() > longBoot*t.Boot {
+		if t := f.types[b.typ]; t != nil && b.slow(t, now) {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/node/rent.go
+++ b/internal/node/rent.go
@@ -7,6 +7,7 @@
 
 	"curlewspool/internal/fleet"
 	"curlewspool/internal/lead"
+	"curlewspool/internal/mesh"
 	"curlewspool/internal/part"
 	"curlewspool/internal/wire"
 	"curlewspool/internal/world"
@@ -20,8 +21,17 @@
 	if n.leads() {
 		return n.fleet.Spared()
 	}
-	p := n.peers[n.book.Owner(lead.Leader)]
-	return p != nil && p.status != nil && n.heard(n.book.Owner(lead.Leader)) && p.status.Spared
+	s := n.leaderSays()
+	return s != nil && s.Spared
+}
+
+// leaderSays is the latest status of another controller that leads; nil: not heard.
+func (n *Node) leaderSays() *mesh.Status {
+	o := n.book.Owner(lead.Leader)
+	if p := n.peers[o]; p != nil && n.heard(o) {
+		return p.status
+	}
+	return nil
 }
 
 // spend counts what this controller's machines, and as a leader those that boot, have
@@ -45,11 +55,10 @@
 
 // Coming is what each part may expect of the machines that boot, as the leader says.
 func (n *Node) Coming() (cores, in float64) {
-	o := n.book.Owner(lead.Leader)
 	if n.leads() {
 		cores, in = n.fleet.Coming()
-	} else if p := n.peers[o]; p != nil && p.status != nil && n.heard(o) {
-		cores, in = p.status.ComingCores, p.status.ComingS
+	} else if s := n.leaderSays(); s != nil {
+		cores, in = s.ComingCores, s.ComingS
 	}
 	return cores / float64(len(n.names)), in
 }
--- a/internal/part/fault.go
+++ b/internal/part/fault.go
@@ -104,10 +104,6 @@
 	}
 }
 
-func (p *Part) lease() time.Duration {
-	return time.Duration(p.h.Settings().Deployment.Workers.Lease * float64(time.Second))
-}
-
 // callOff takes back what of a mistaken job has not begun to run: it holds room and
 // fetches images for nothing. What runs fails soon, or shows that it was not.
 func (p *Part) callOff(w *Work) {
--- a/internal/part/keep.go
+++ b/internal/part/keep.go
@@ -72,13 +72,18 @@
 // largeFits tells whether l could start now, or could once what it may stop
 // without loss is stopped.
 func (r *room) largeFits(l *wire.Job) bool {
-	free := *r
-	free.cores += r.softC
-	free.gpus += r.softG
-	free.mem += r.softM
+	free := r.freed()
 	return free.fits(l)
 }
 
+// freed is the room once what may be stopped without loss is.
+func (r *room) freed() room {
+	free := *r
+	free.cores, free.gpus, free.mem = r.cores+r.softC, r.gpus+r.softG, r.mem+r.softM
+	free.softC, free.softG, free.softM = 0, 0, 0
+	return free
+}
+
 // riskOfSpot is the share of a run that is reckoned as lost with spot machines
 // for work that saves nothing: enough to choose an ordinary machine that is
 // there anyway, not one that could be returned.
--- a/internal/part/machines.go
+++ b/internal/part/machines.go
@@ -22,8 +22,7 @@
 
 // watch judges one machine.
 func (p *Part) watch(m *Machine, now time.Duration) {
-	s := p.h.Settings()
-	lease := world.Seconds(s.Deployment.Workers.Lease)
+	lease := p.lease()
 	if m.LeaseOver(now, lease, settings.Drift) && now-m.LastHeard > lease && (!m.Resolved || len(m.Runs) > 0) {
 		slog.Info("part: lease is over", "part", p.K, "machine", m.ID, "runs", len(m.Runs))
 		p.handle(m, m.Expire())
--- a/internal/part/makeroom.go
+++ b/internal/part/makeroom.go
@@ -23,11 +23,9 @@
 
 // slot is what a run holds and when it gives it back.
 type slot struct {
-	m     *Machine
-	run   *worker.Run
-	job   *wire.Job
-	cores float64
-	at    time.Duration
+	placement
+	job *wire.Job
+	at  time.Duration
 }
 
 // makeRoom looks at the arrays that wait, in their order, and at all that ends
@@ -37,6 +35,7 @@
 	var slots []slot
 	need := 0.0 // core-seconds of all before, and of this one
 	left := 0.0 // cores that may yet be stopped in this pass
+	coming, in := 0.0, 0.0
 	for _, w := range q {
 		j := &w.Rec.Job
 		if w.idle == 0 || w.gang() || w.service() || w.borrowed() || w.ending || w.mistaken {
@@ -50,13 +49,17 @@
 		}
 		if slots == nil {
 			slots = p.slots(rooms, now)
+			coming, in = p.h.Coming()
 			for _, r := range rooms {
 				left += r.t.Cores * stopShare
 			}
 		}
+		if len(slots) == 0 || left <= 0 {
+			return // nothing (more) may be stopped
+		}
 		open := p.openTo(w, rooms, now)
-		short := need - p.supply(w, rooms, open, slots, now, by)
-		if short > 0 && left > 0 {
+		boots := coming * max(0, (by-now).Seconds()-in+estimate/2)
+		if short := need - boots - p.supply(w, rooms, open, slots, now, by); short > 0 {
 			left -= p.stopFor(w, open, slots, short, left, now, by)
 		}
 	}
@@ -69,9 +72,7 @@
 func (p *Part) openTo(w *Work, rooms []*room, now time.Duration) map[*Machine]bool {
 	open := make(map[*Machine]bool, len(rooms))
 	for _, r := range rooms {
-		left := *r // once what may be stopped is
-		left.cores, left.gpus, left.mem = r.cores+r.softC, r.gpus+r.softG, r.mem+r.softM
-		left.softC, left.softG, left.softM = 0, 0, 0
+		left := r.freed()
 		open[r.m] = !r.hard && now >= w.avoid[r.m.ID] && p.allowed(r.m, &w.Rec.Job) && p.backfills(r, &w.Rec.Job, now) && !p.kept(&left, w, now)
 	}
 	return open
@@ -79,7 +80,7 @@
 
 // lowestPlaced is the lowest rank of what may be stopped here.
 func (p *Part) lowestPlaced() int {
-	lowest := int(^uint(0) >> 1)
+	lowest := math.MaxInt
 	for _, w := range p.works() {
 		if w.nplaced > 0 && !w.gang() && !w.service() && !w.borrowed() {
 			lowest = min(lowest, w.Rec.Job.Rank)
@@ -112,7 +113,7 @@
 		}
 		for run := range r.m.All() {
 			if w := p.Works[run.Job]; w != nil && !run.Over() {
-				out = append(out, slot{r.m, run, &w.Rec.Job, w.Rec.Job.Cores, p.endOf(run, &w.Rec.Job, now)})
+				out = append(out, slot{placement{r.m, run}, &w.Rec.Job, p.endOf(run, &w.Rec.Job, now)})
 			}
 		}
 	}
@@ -130,13 +131,12 @@
 	return max(at, now+e/10)
 }
 
-// supply is how many core-seconds there will be for the job up to a time, with one
-// more start on each core at its end.
+// supply is how many core-seconds there will be for the job up to a time on machines
+// that are up, with one more start on each core at its end.
 func (p *Part) supply(w *Work, rooms []*room, open map[*Machine]bool, slots []slot, now, by time.Duration) float64 {
 	j := &w.Rec.Job
 	last := p.estimate(j).Seconds() / 2
-	cores, in := p.h.Coming()
-	sum := cores * max(0, (by-now).Seconds()-in+last)
+	sum := 0.0
 	for _, r := range rooms {
 		if !open[r.m] {
 			continue
@@ -146,7 +146,7 @@
 	}
 	for _, s := range slots {
 		if s.at < by && open[s.m] {
-			sum += s.cores * ((by - s.at).Seconds() + last)
+			sum += s.job.Cores * ((by - s.at).Seconds() + last)
 		}
 	}
 	return sum
@@ -169,15 +169,8 @@
 		if s.run.Began > 0 && s.job.Mark > 0 {
 			save = s.job.Save
 		}
-		won := ((min(s.at, by) - now).Seconds() - save) * s.cores
-		if won <= 0 {
-			continue
-		}
-		lost := save * s.cores
-		if s.run.Began > 0 && s.job.Mark <= 0 {
-			lost = (now - s.run.Began).Seconds() * s.cores
-		}
-		if lost < won {
+		won := ((min(s.at, by) - now).Seconds() - save) * s.job.Cores
+		if lost := stopLoses(s.run, s.job, now); won > 0 && lost < won {
 			list = append(list, victim{s, won, lost})
 		}
 	}
@@ -194,9 +187,9 @@
 		if short <= 0 || stopped >= most {
 			break
 		}
-		p.stopRun(p.Works[v.run.Job], &placement{v.m, v.run}, "preempted by "+j.ID)
+		p.stopRun(p.Works[v.run.Job], &v.placement, "preempted by "+j.ID)
 		short -= v.won
-		stopped += v.cores
+		stopped += v.job.Cores
 		n++
 	}
 	if n > 0 {
--- a/internal/part/money.go
+++ b/internal/part/money.go
@@ -42,11 +42,7 @@
 		if t == nil || t.Cores <= 0 {
 			continue
 		}
-		price := t.Price
-		if m.Spot {
-			price = t.Spot
-		}
-		price *= took.Hours()
+		price := t.Rate(m.Spot) * took.Hours()
 		left := t.Cores
 		for _, run := range m.Runs {
 			w := p.Works[run.Job]
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -180,7 +180,7 @@
 	if w := p.Works[id]; w != nil && pr != nil {
 		w.absorb(pr, p.K)
 		p.hearAgainst(w, k, pr.Against)
-		if k == p.K && !w.writing && !w.anywhere() { // else the write's end says what is stored
+		if k == p.K && !w.writing { // else the write's end says what is stored
 			w.stored = reach{pr.All, map[string]bool{}}
 			for _, m := range pr.On {
 				w.stored.on[m] = true
@@ -277,6 +277,10 @@
 	return p.order
 }
 
+func (p *Part) lease() time.Duration {
+	return world.Seconds(p.h.Settings().Deployment.Workers.Lease)
+}
+
 func (p *Part) report() time.Duration {
 	return world.Seconds(p.h.Settings().Deployment.Workers.Report)
 }
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -181,11 +181,10 @@
 				continue
 			}
 			one := r.m.sick // see fault.go
-			for k := 0; len(plan) < n && !(one && k > 0) && r.fits(j) && p.backfills(r, j, now) && !p.kept(r, w, now); {
+			for k := 0; len(plan) < n && !(one && k > 0) && r.fits(j) && p.backfills(r, j, now) && !p.kept(r, w, now); k++ {
 				if j.Spread && count[r.m.Zone] >= Half(j) {
 					break
 				}
-				k++
 				count[r.m.Zone]++
 				r.take(j)
 				r.spareC -= j.Cores
--- a/internal/part/records.go
+++ b/internal/part/records.go
@@ -110,9 +110,7 @@
 				w.dirty = true
 				return // the tick tries again
 			}
-			if !w.anywhere() {
-				w.stored = *next
-			}
+			w.stored = *next
 			for _, run := range ended {
 				run.Reap = true
 			}
@@ -133,6 +131,9 @@
 // some of it is queued all that could take it, so that not every start needs a
 // write of its own.
 func (p *Part) reachOf(w *Work, limit int) *reach {
+	if w.anywhere() {
+		return &reach{all: true}
+	}
 	r := &reach{on: map[string]bool{}}
 	for _, pl := range w.runs {
 		r.on[pl.m.ID] = true
--- a/internal/part/reserve.go
+++ b/internal/part/reserve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"curlewspool/internal/wire"
+	"curlewspool/internal/worker"
 )
 
 // This file reserves room for the head, and stops others for it.
@@ -199,14 +200,7 @@
 			}
 		}
 		lost := func(v *placement) float64 {
-			o := &p.Works[v.run.Job].Rec.Job
-			if v.run.Began == 0 || v.run.Halt {
-				return 0
-			}
-			if o.Mark > 0 {
-				return o.Save * o.Cores
-			}
-			return (now - v.run.Began).Seconds() * o.Cores
+			return stopLoses(v.run, &p.Works[v.run.Job].Rec.Job, now)
 		}
 		sort.SliceStable(vs, func(a, b int) bool { return lost(vs[a]) < lost(vs[b]) })
 		c, g, mem := r.cores, r.gpus, r.mem
@@ -255,6 +249,18 @@
 	return any
 }
 
+// stopLoses is how many core-seconds stopping a run costs: its save, or all that it
+// has done.
+func stopLoses(run *worker.Run, j *wire.Job, now time.Duration) float64 {
+	if run.Began == 0 || run.Halt {
+		return 0
+	}
+	if j.Mark > 0 {
+		return j.Save * j.Cores
+	}
+	return (now - run.Began).Seconds() * j.Cores
+}
+
 // borrows: the team runs more here than its guarantee.
 func (p *Part) borrows(team, other string) bool {
 	if team == other {
--- a/internal/part/rooms.go
+++ b/internal/part/rooms.go
@@ -77,10 +77,7 @@
 // only after its runs changed. The caller changes a copy only.
 func (p *Part) roomOf(m *Machine, now time.Duration) *room {
 	t := p.h.TypeOf(m.Type)
-	if t == nil || !p.usable(m, now) {
-		return nil
-	}
-	if m.onTrial(now) {
+	if t == nil || !p.usable(m, now) || m.onTrial(now) {
 		return nil
 	}
 	r := &m.room
--- a/internal/standin/money_test.go
+++ b/internal/standin/money_test.go
@@ -22,11 +22,7 @@
 	each = func() { // ten times a second
 		for _, w := range s.Workers {
 			if !w.gone {
-				price := w.typ.Price
-				if w.spot {
-					price = w.typ.Spot
-				}
-				charged += price / 36000
+				charged += w.typ.Rate(w.spot) / 36000
 			}
 		}
 		s.after(100e6, each)
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -269,6 +269,14 @@
 	Zones   []string `cbor:"yards"`
 }
 
+// Rate is its price an hour, as a spot machine or an ordinary one.
+func (t *MachineType) Rate(spot bool) float64 {
+	if spot {
+		return t.Spot
+	}
+	return t.Price
+}
+
 // Fits counts how many of n tasks of a job an empty machine holds.
 func (t *MachineType) Fits(j *Job, n int) int {
 	const eps = 1e-9
