Hearing: deaf machines, late copies and lives that are back at once are told apart

A deaf machine was given work at each of its rounds, seemed renewed by reports, and made its owner seem deaf: in the stand-in a job waited 190 s for two of them, its part going from owner to owner. Change: worker/hearing.go keeps the evidence that a machine hears (orders answered, a token that comes back, launches and reaps that took effect, the next report in turn). Without it nothing is placed, what was only placed goes elsewhere, two lost orders beside an unheard answer end the answering, the lease then ends by the clock, and the machine is returned. Reports are ordered by token first; an older one is asked about (GET /status) and a machine that is back is told from a copy. Machines without a record must answer before they get one. Mesh messages name the process that sent them. Reports that are not of the protocol's form get 400.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -30,6 +30,7 @@
 type Busy struct {
 	Work  float64 // cores times run time that spot jobs may still take
 	Cores float64 // that other jobs hold
+	Deaf  float64 // cores of machines that hear nothing
 }
 
 // Known is a machine with a record.
@@ -544,6 +545,7 @@
 	type supply struct{ cores, boot float64 }
 	up, boots := 0.0, []supply{}
 	rented := -busy.Cores // ordinary cores that the others leave
+	up -= busy.Deaf
 	for _, k := range known {
 		if t := f.types[k.Rec.Type]; t != nil && !retiring[k.ID] {
 			up += t.Cores
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -129,6 +129,16 @@
 // Forget empties the list of owners, to be told anew.
 func (b *Book) Forget() { b.owners = map[string]Owner{} }
 
+// Given tells whether a token can have been given to anybody, as far as the cache
+// knows.
+func (b *Book) Given(token uint64) bool {
+	var c counter
+	if e, ok := b.l.Get(counterKey); !ok || wire.Decode(e.Value, &c) != nil {
+		return false
+	}
+	return token/TokenStep <= c.N
+}
+
 // Stale tells whether the key is held by this controller's name, but from
 // before its restart.
 func (b *Book) Stale(key string) bool {
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"log/slog"
 	"maps"
 	"net/url"
@@ -318,6 +319,13 @@
 	}
 }
 
+// Life names this process: its transactions carry it, and it is never used again.
+func (l *Ledger) Life() uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(l.nonce))
+	return h.Sum64() | 1
+}
+
 // Loaded tells whether the cache can be read at all.
 func (l *Ledger) Loaded() bool { return l.loaded }
 
--- a/internal/node/hearing.go
+++ b/internal/node/hearing.go
@@ -18,39 +18,59 @@
 // worker answers it again. (On days of the fleet's size 284 machines lost their
 // leases, and 800 tasks their work, to one such controller.)
 type hearing struct {
-	others map[string]time.Duration // machines of others' parts: when they last reported here
+	others map[string]seenAt // machines of others' parts: when they last reported here
 	deaf   bool
 	asking bool
 }
 
+// seenAt is a report and when it came. A late copy of one that came before says
+// nothing of who reaches whom now.
+type seenAt struct {
+	session, seq uint64
+	at           time.Duration
+}
+
 // heard notes a report that came here; ours: of a machine of a part owned here.
 // (Were those noted, too, a part that is given up on purpose would be given back
 // at once, as its machines seem to prefer this controller.)
-func (h *hearing) heard(machine string, ours bool, now time.Duration) {
+func (h *hearing) heard(r *wire.Report, ours bool, now time.Duration) {
 	if h.others == nil {
-		h.others = map[string]time.Duration{}
+		h.others = map[string]seenAt{}
 	}
-	if ours {
-		delete(h.others, machine)
-	} else {
-		h.others[machine] = now
+	was := h.others[r.Machine]
+	switch {
+	case !r.Newer(was.session, was.seq):
+		return
+	case ours:
+		delete(h.others, r.Machine)
+	default:
+		h.others[r.Machine] = seenAt{r.Session, r.Seq, now}
 	}
 	h.deaf = false
 }
 
 func (n *Node) reports() time.Duration { return world.Seconds(n.s.Deployment.Workers.Report) }
 
+// round is how long a machine that nobody answers takes from one controller through
+// all others back to it.
+func (n *Node) round() time.Duration {
+	return time.Duration(len(n.names)+1) * (wire.AnswerWithin + wire.NextAfter)
+}
+
 // counts tells whose machines came here of late, by part; what is older is
 // forgotten.
 func (h *hearing) counts(n *Node) []*mesh.Hears {
 	now := n.w.Now()
 	count := make([]int32, len(n.names))
-	for id, at := range h.others {
+	for id, seen := range h.others {
 		m := n.machines[id]
-		if now-at > 2*n.reports() || m == nil {
+		if now-seen.at > 2*n.lease() || m == nil { // after that a copy may count once
 			delete(h.others, id)
 			continue
 		}
+		if now-seen.at > 2*n.reports() {
+			continue
+		}
 		if m.Part >= 0 && m.Part < len(count) && n.parts[m.Part] == nil {
 			count[m.Part]++
 		}
@@ -116,10 +136,16 @@
 		}
 		all, here := 0, 0
 		for _, m := range p.Machines {
-			all++
-			if now-m.LastHeard < n.reports()*3/2 {
+			// A machine that hears nobody goes from one controller to the next with its
+			// reports, this one among them: it says nothing of this one's hearing. (A
+			// part of deaf machines went from owner to owner for as long as they were.)
+			switch is := now - m.Here; {
+			case m.Session == 0 && is < n.round(), m.Session > 0 && (!m.Hears() || is < n.lease()/2):
+				continue
+			case now-m.LastHeard < n.reports()*3/2:
 				here++
 			}
+			all++
 		}
 		if by, many := n.heardBy(p.K); many && 4*here < all && by != n.s.Name && n.release(p.K) {
 			slog.Info("node: machines do not reach this controller", "part", p.K, "machines", all, "heard", here, "reach", by)
--- a/internal/node/load.go
+++ b/internal/node/load.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"curlewspool/internal/mesh"
 	"curlewspool/internal/settings"
 	"curlewspool/internal/wire"
 	"curlewspool/internal/world"
@@ -48,10 +49,11 @@
 	Cloud    float64 `cbor:"cloud" json:"cloud_calls"`
 }
 
-// metered counts the calls of a world.
+// metered counts the calls of a world, and names the process to the others.
 type metered struct {
 	world.World
 	state, cloud             string
+	life                     uint64 // names this process to the others
 	requests, changes, calls Peak
 }
 
@@ -73,6 +75,12 @@
 	m.World.Call(addr, method, path, in, out, timeout, done)
 }
 
+// Send names the process in each message.
+func (m *metered) Send(member string, e *mesh.Envelope) {
+	e.Life = m.life
+	m.World.Send(member, e)
+}
+
 func (m *metered) load() Load {
 	return Load{m.requests.Most / busy, m.changes.Most / busy, m.calls.Most / busy}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,6 +91,8 @@
 	n.arrivals = fleet.NewArrivals(4 * n.lease())
 	n.l = ledger.New(w, s.Services.State, s.Name, ledger.Limits{RPS: d.State.RPS, WriteRPS: d.State.WriteRPS,
 		ValueKB: d.State.ValueKB, TxnOps: d.State.TxnOps, Members: len(n.names)}, n.changed)
+	load.life = n.l.Life()
+	n.askID = load.life // an answer to the process before is none to this one's questions
 	n.book = lead.New(s.Name, n.l)
 	n.book.Taken, n.book.Lost = n.taken, n.lost
 	// Twice, as the key may be taken a while after this is asked.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"curlewspool/internal/lead"
@@ -19,6 +20,30 @@
 	sign   time.Duration // of its latest sign of life in the state service
 	mute   bool          // it left a question unanswered and has said nothing since
 	status *mesh.Status
+	life   uint64   // of its process
+	dead   []uint64 // of those before, the latest ones
+}
+
+// dead processes remembered of a member.
+const deadKept = 8
+
+// lives follows a member's process by what it calls itself; false: the message is of
+// one that has ended. (Back within a fraction of a second, a process was never
+// seen to be gone; what its predecessor sent may still be on the way.)
+func (p *peer) lives(life uint64, now time.Duration) bool {
+	if life == p.life {
+		return true
+	}
+	if slices.Contains(p.dead, life) {
+		return false
+	}
+	if p.life != 0 {
+		p.dead = append(p.dead, p.life)
+		p.dead = p.dead[max(0, len(p.dead)-deadKept):]
+		p.since = now
+	}
+	p.life = life
+	return true
 }
 
 // absent: not heard as ready for long, though this controller has been.
@@ -120,6 +145,9 @@
 		return
 	}
 	now := n.w.Now()
+	if !p.lives(e.Life, now) {
+		return
+	}
 	p.mute = false
 	switch b := e.Body.(type) {
 	case *mesh.Envelope_Status:
--- a/internal/node/rent.go
+++ b/internal/node/rent.go
@@ -163,6 +163,11 @@
 		}
 	}
 	var busy fleet.Busy
+	for _, s := range n.statuses() {
+		for _, p := range s.Parts {
+			busy.Deaf += p.DeafCores
+		}
+	}
 	for id, rec := range n.jobs {
 		if rec.Loan != nil {
 			continue // nothing is rented, or kept, for it
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"log/slog"
+	"math"
 	"time"
 
 	"curlewspool/internal/lead"
@@ -16,8 +18,8 @@
 
 // Report handles POST /v1/report.
 func (n *Node) Report(r *wire.Report, reply WorkerReply) {
-	if r.Machine == "" {
-		reply(400, &wire.Problem{Error: "no machine"})
+	if bad := r.Check(); bad != "" {
+		reply(400, &wire.Problem{Error: bad})
 		return
 	}
 	if !n.l.Loaded() {
@@ -25,7 +27,7 @@
 		return
 	}
 	rec := n.machines[r.Machine]
-	n.hearing.heard(r.Machine, rec != nil && n.parts[rec.Part] != nil, n.w.Now())
+	n.hearing.heard(r, rec != nil && n.parts[rec.Part] != nil, n.w.Now())
 	if rec == nil {
 		n.unlisted(r, reply)
 		return
@@ -48,16 +50,28 @@
 	}
 	if r.Token > m.Token {
 		// It has seen a newer owner, or comes from another part: an answer
-		// with a lower token would hold it here while its lease runs out.
-		n.book.Claim(key, false)
+		// with a lower token would hold it here while its lease runs out. A token
+		// that nobody can have given says nothing.
+		if n.book.Given(r.Token) {
+			n.book.Claim(key, false)
+		}
+		m.Refused(r, false)
 		reply(503, &wire.Problem{Error: "a higher token is needed"})
 		return
 	}
-	if !p.Report(m, r, true) {
+	switch {
+	case !p.Report(m, r, true):
+		if m.Refused(r, true) {
+			n.askMachine(p, m)
+		}
 		reply(503, &wire.Problem{Error: "outdated report"})
 		return
-	}
-	if p.Unanswered(m, n.w.Now()) {
+	case m.Deaf():
+		m.Refused(r, false)
+		reply(503, &wire.Problem{Error: "does not hear"})
+		return
+	case p.Unanswered(m, n.w.Now()):
+		m.Refused(r, false)
 		reply(503, &wire.Problem{Error: "waits for a partner's word"})
 		return
 	}
@@ -82,13 +96,14 @@
 	n.pushing++
 	m.OrdersSent()
 	body := &wire.Commands{Token: m.Token, Session: max(m.Session, 1), Orders: notNil(m.Orders(true, n.w.Now()))}
-	out := &wire.Report{}
+	out, session, seq := &wire.Report{}, m.Session, m.Seq
 	limit := min(2*time.Second, world.Seconds(n.s.Deployment.Workers.Report))
 	n.w.Call(m.Address, "POST", "/orders", body, out, limit, func(status int) {
 		n.pushing--
 		if status != 200 && status != 409 {
 			m.OrdersLost(body.Token)
-			m.Pause(n.w.Now() + limit)
+			// A machine that does not answer must not hold sockets that others need.
+			m.Pause(n.w.Now() + limit<<min(m.Misses(), 4)/2 + time.Duration(n.w.Rand().Int64N(int64(limit)/2)))
 			return
 		}
 		m.OrdersAnswered()
@@ -100,9 +115,38 @@
 			m.Pause(n.w.Now() + limit)
 			return
 		}
-		p.Report(m, out, false)
+		n.answeredBy(p, m, out, session, seq)
 		if status == 409 {
 			m.Pause(n.w.Now() + limit/8)
 		}
 	})
 }
+
+// answeredBy takes a report that was made after a question; session and seq are of
+// the newest one before it. One that is not newer is from a new life of the machine.
+func (n *Node) answeredBy(p *part.Part, m *part.Machine, out *wire.Report, session, seq uint64) {
+	if session > 0 && seq < math.MaxUint64 && !out.Newer(session, seq) {
+		slog.Info("node: machine is back", "part", p.K, "machine", m.ID, "session", out.Session, "token", out.Token)
+		m.Reborn(n.w.Now())
+		return // it is given a token before anything it says is taken
+	}
+	p.Report(m, out, false)
+}
+
+// askMachine asks a machine how it is, after a report that is older than what is
+// known: a late copy, or of a machine that is back under its name, whose reports
+// would be taken for copies until they are numbered higher than those of its life
+// before.
+func (n *Node) askMachine(p *part.Part, m *part.Machine) {
+	if m.Ordered() || m.Asked(n.w.Now(), n.reports()) || n.pushing >= n.s.Deployment.Limits.Sockets/8 {
+		return
+	}
+	n.pushing++
+	out, session, seq := &wire.Report{}, m.Session, m.Seq
+	n.w.Call(m.Address, "GET", "/status", nil, out, min(2*time.Second, n.reports()), func(status int) {
+		n.pushing--
+		if status == 200 && n.owns(p.K) == p && p.Machines[m.ID] == m && out.Machine == m.ID {
+			n.answeredBy(p, m, out, session, seq)
+		}
+	})
+}
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"sort"
 	"strconv"
+	"time"
 
 	"curlewspool/internal/lead"
 	"curlewspool/internal/ledger"
@@ -38,13 +39,14 @@
 // enlist is what is to be added to the rosters and taken out of them.
 type enlist struct {
 	add     map[string]*part.MachineRecord
+	asking  map[string]bool // whether they are there
 	remove  map[string]bool
 	writing [groups]bool
 	soon    bool
 }
 
 func newEnlist() enlist {
-	return enlist{add: map[string]*part.MachineRecord{}, remove: map[string]bool{}}
+	return enlist{add: map[string]*part.MachineRecord{}, asking: map[string]bool{}, remove: map[string]bool{}}
 }
 
 // rosterChanged compares a roster with what was known of it.
@@ -231,8 +233,7 @@
 // unlisted takes the report of a machine without a record: the leader gives
 // it to a part.
 func (n *Node) unlisted(r *wire.Report, reply WorkerReply) {
-	alone := n.alone()
-	if !n.leads() && !alone {
+	if !n.leads() && !n.alone() {
 		if o := n.book.Owner(lead.Leader); o != "" && o != n.s.Name {
 			reply(421, &wire.Problem{Error: "not the leader", Owner: o})
 			return
@@ -241,7 +242,34 @@
 		return
 	}
 	reply(503, &wire.Problem{Error: "being recorded"})
-	if n.enlist.add[r.Machine] != nil || len(n.enlist.add) >= n.most() || !alone && n.fleet.Gone(r.Machine) {
+	n.proveThere(r)
+}
+
+// proveThere asks a machine without a record whether it is there before it is given
+// one: what came may be a late copy of a report of one that was deleted, and work
+// would be placed on a ghost. One that does not answer is none that could be used:
+// what the cloud lists of it is given up as what never came up.
+func (n *Node) proveThere(r *wire.Report) {
+	id, out := r.Machine, &wire.Report{}
+	if n.enlist.add[id] != nil || n.enlist.asking[id] || len(n.enlist.add)+len(n.enlist.asking) >= n.most() || n.leads() && n.fleet.Gone(id) ||
+		n.pushing >= n.s.Deployment.Limits.Sockets/8 {
+		return
+	}
+	n.enlist.asking[id] = true
+	n.pushing++
+	n.w.Call(r.Address, "GET", "/status", nil, out, min(2*time.Second, n.reports()), func(status int) {
+		n.pushing--
+		delete(n.enlist.asking, id)
+		if status == 200 && out.Machine == id && out.Check() == "" && n.machines[id] == nil && (n.leads() || n.alone()) {
+			n.record(out)
+		}
+	})
+}
+
+// record gives a machine that is there to a part.
+func (n *Node) record(r *wire.Report) {
+	alone := !n.leads()
+	if n.enlist.add[r.Machine] != nil || !alone && n.fleet.Gone(r.Machine) {
 		return
 	}
 	rec := &part.MachineRecord{ID: r.Machine, Address: r.Address, Type: r.Type, Zone: r.Zone, Spot: r.Spot, Own: !alone && !n.fleet.Rented(r.Machine)}
--- a/internal/part/machines.go
+++ b/internal/part/machines.go
@@ -23,11 +23,16 @@
 // watch judges one machine.
 func (p *Part) watch(m *Machine, now time.Duration) {
 	lease := p.lease()
-	if m.LeaseOver(now, lease, settings.Drift) && now-m.LastHeard > lease && (!m.Resolved || len(m.Runs) > 0) {
+	// Whether it reports does not matter: a deaf machine does, and its lease ends all
+	// the same. (Jobs that might be on one waited for ever for its answer.)
+	if m.LeaseOver(now, lease, settings.Drift) && (!m.Resolved || m.MayHold()) {
 		slog.Info("part: lease is over", "part", p.K, "machine", m.ID, "runs", len(m.Runs))
-		p.handle(m, m.Expire())
+		p.handle(m, m.Expire(now))
 		p.dirty = true
 	}
+	if m.Deaf() {
+		p.takeOff(m, true)
+	}
 	if m.retiring != "" {
 		return
 	}
@@ -42,6 +47,11 @@
 		p.retire(m, "silent")
 		return
 	}
+	// What may be on a deaf one runs on until its lease ends, and is gone then.
+	if since := m.DeafSince(); since > 0 && (now-since > lease && p.alone(m, now) || now-since > 3*lease) {
+		p.retire(m, "deaf")
+		return
+	}
 	switch {
 	case !m.Resolved || len(m.Runs) > 0 && !m.draining && !p.movable(m, now):
 		m.idleAt = now
@@ -87,7 +97,7 @@
 	return p.softFree >= need
 }
 
-// alone tells whether a silent machine is silent by itself: if many are, in
+// alone tells whether a silent, or deaf, machine is so by itself: if many are, in
 // the part or in the machine's zone, the network or this controller is at
 // fault, and deleting them would only destroy work. (With zones apart, the 70
 // machines of a part's smaller zone were once deleted.)
@@ -100,7 +110,7 @@
 				continue
 			}
 			all++
-			if now-o.LastHeard > 2*p.report() {
+			if now-o.LastHeard > 2*p.report() || o.Deaf() {
 				silent++
 			}
 		}
--- a/internal/part/money.go
+++ b/internal/part/money.go
@@ -64,7 +64,7 @@
 		switch {
 		case m.retiring != "" || m.draining || m.Noticed:
 			cause = Leaving
-		case m.sick || !m.Resolved || now-m.LastHeard > 2*p.report():
+		case m.sick || !m.Resolved || !m.Hears() || now-m.LastHeard > 2*p.report():
 			cause = Doubted
 		case m.reserved != nil:
 			cause = Reserved
--- a/internal/part/moves.go
+++ b/internal/part/moves.go
@@ -46,6 +46,8 @@
 	for _, m := range p.machines() {
 		if m.retiring != "" {
 			out.Retiring = append(out.Retiring, m.ID)
+		} else if t := p.h.TypeOf(m.Type); t != nil && m.Deaf() {
+			out.DeafCores += t.Cores
 		}
 	}
 	rooms := p.rooms(now)
@@ -74,7 +76,7 @@
 	zone := map[string]int{}
 	for _, m := range p.machines() {
 		t := p.h.TypeOf(m.Type)
-		if !p.allowed(m, j) || m.retiring != "" || now-m.LastHeard > 3*p.report() || m.lent > now {
+		if !p.allowed(m, j) || m.retiring != "" || m.Deaf() || now-m.LastHeard > 3*p.report() || m.lent > now {
 			continue
 		}
 		zone[m.Zone] += t.Fits(j, j.Tasks)
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -51,9 +51,10 @@
 type Machine struct {
 	*worker.Machine
 	rec      MachineRecord
-	room     room   // what is free, as of version
-	version  uint64 // of the runs that room was worked out for
-	reserved *room  // for the head, by the last pass
+	Here     time.Duration // since when it is in this part, under this owner
+	room     room          // what is free, as of version
+	version  uint64        // of the runs that room was worked out for
+	reserved *room         // for the head, by the last pass
 	retiring string
 	idleAt   time.Duration // when it last became empty
 	lent     time.Duration // being emptied for another part until then
@@ -212,7 +213,7 @@
 	}
 	if m == nil {
 		m = &Machine{Machine: worker.New(id, p.Token, max(p.bound, p.h.Now())),
-			images: map[string]bool{}, idleAt: p.h.Now()}
+			images: map[string]bool{}, idleAt: p.h.Now(), Here: p.h.Now()}
 		m.Address, m.Type, m.Zone, m.Spot = rec.Address, rec.Type, rec.Zone, rec.Spot
 		p.Machines[id], p.order = m, nil
 	}
--- a/internal/part/runs.go
+++ b/internal/part/runs.go
@@ -25,9 +25,29 @@
 		slog.Debug("part: machine known", "part", p.K, "machine", m.ID, "runs", len(m.Runs))
 	}
 	p.handle(m, events)
+	if !m.Hears() {
+		p.takeOff(m, false)
+	}
 	return true
 }
 
+// takeOff gives what was placed on a machine that does not hear, and is surely not
+// there, back to the queue. A gang is not broken for one answer that was lost: its
+// tasks stay until the machine is known to be deaf.
+func (p *Part) takeOff(m *Machine, gangs bool) {
+	for run := range m.All() {
+		w := p.Works[run.Job]
+		if run.MayBeThere() || w != nil && w.gang() && !gangs {
+			continue
+		}
+		m.Drop(run)
+		if w != nil {
+			slog.Info("part: does not hear, its task goes elsewhere", "part", p.K, "machine", m.ID, "task", run.String())
+			p.release(w, run)
+		}
+	}
+}
+
 func (p *Part) handle(m *Machine, events []worker.Event) {
 	for _, e := range events {
 		p.dirty = true
--- a/internal/standin/random_test.go
+++ b/internal/standin/random_test.go
@@ -98,11 +98,66 @@
 			}
 		}
 	}},
+	{"a machine is deaf", func(s *Sim, r *rand.Rand, w []*Worker, at, length float64) {
+		s.deafFor(at, at+3*length, w[r.IntN(len(w))])
+	}},
+	{"a third of the machines are deaf", func(s *Sim, r *rand.Rand, w []*Worker, at, length float64) {
+		for _, x := range w {
+			if r.IntN(3) == 0 {
+				s.deafFor(at, at+2*length, x)
+			}
+		}
+	}},
+	{"reports are copied", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		lease := s.S.Deployment.Workers.Lease
+		s.At(at, func() {
+			s.Copies = func() (late []time.Duration) {
+				if r.IntN(3) == 0 {
+					late = append(late, time.Duration((0.1+2*lease*r.Float64())*float64(time.Second)))
+				}
+				return late
+			}
+		})
+		s.At(at+length, func() { s.Copies = nil })
+	}},
+	{"a machine is back at once", func(s *Sim, r *rand.Rand, w []*Worker, at, _ float64) {
+		for range 1 + r.IntN(2) {
+			s.At(at, func() { w[r.IntN(len(w))].Back(s.moment(r)) })
+		}
+	}},
+	{"a controller is isolated", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		n := s.all[r.IntN(3)]
+		s.At(at, func() { s.At(at+2*length, s.Isolate(n)) })
+	}},
+	{"controllers are back at once", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		for _, n := range s.all {
+			for range r.IntN(3) {
+				t := at + r.Float64()*min(length, 5)
+				s.At(t, func() {
+					if h := s.Nodes[n]; h.up {
+						h.Crash()
+						s.after(s.moment(r), h.Start)
+					}
+				})
+			}
+		}
+	}},
 	{"a burst", func(s *Sim, r *rand.Rand, _ []*Worker, at, _ float64) {
 		burst(s, at, 3+r.IntN(5), 1+r.IntN(6), 3+5*r.Float64())
 	}},
 }
 
+// moment is a fraction of a second, in which a process or machine may be back.
+func (s *Sim) moment(r *rand.Rand) time.Duration {
+	return 50*time.Millisecond + time.Duration(r.IntN(850))*time.Millisecond
+}
+
+// deafFor lets nothing reach a machine for a time.
+func (s *Sim) deafFor(from, to float64, w *Worker) {
+	s.At(from, func() { s.Deafen(w.Addr(), true) })
+	s.At(to, func() { s.Deafen(w.Addr(), false) })
+}
+
 // play plays a random day of two to five troubles that overlap and end by 80 s,
 // and gives what went wrong.
 func play(seed int) (s *Sim, script, wrong []string) {
@@ -157,11 +212,13 @@
 		burst = burst || t.name == "a burst"
 		script = append(script, fmt.Sprintf("%.1f %s (%.1f)", at, t.name, length))
 		t.do(s, r, w, at, length)
+		s.history.Calm = max(s.history.Calm, time.Duration((at+3*length+4)*float64(time.Second)))
 		at += 8 * r.Float64()
 	}
 	s.Start()
 	s.Run(400)
 	wrong = append(wrong, s.Broken...)
+	wrong = append(wrong, s.Judge()...)
 	for id := range s.jobs {
 		if got := s.Told(id); got != wire.Done && got != wire.Withdrawn {
 			j := s.jobs[id]
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -32,6 +32,7 @@
 	rnd    *rand.Rand
 	serve  map[string]server // by address
 	cuts   map[string]bool
+	deaf   map[string]bool // addresses that nothing reaches, though they are heard
 	refuse map[string]bool // requests that get 503, by "from|to"
 	held   map[string][]func()
 	Traced []string
@@ -40,13 +41,16 @@
 	sims   map[string]*Sim               // the clusters, by name
 	hosts  map[string]*Host              // the controllers, by each of their addresses
 	Twice  func(to string) time.Duration // a request there arrives again after that; 0: once
+	// Copies says how late copies of a worker's report come, if any; their answers
+	// reach nobody.
+	Copies func() []time.Duration
 	seen   *Seen
 	// OnCall is told each request as it is made.
 	OnCall func(from, method, path string)
 }
 
 func newNet(seed uint64) *Net {
-	return &Net{refuse: map[string]bool{}, rnd: rand.New(rand.NewPCG(seed, 1)), serve: map[string]server{}, cuts: map[string]bool{},
+	return &Net{refuse: map[string]bool{}, rnd: rand.New(rand.NewPCG(seed, 1)), serve: map[string]server{}, cuts: map[string]bool{}, deaf: map[string]bool{},
 		held: map[string][]func(){}, sims: map[string]*Sim{}, hosts: map[string]*Host{}}
 }
 
@@ -84,6 +88,7 @@
 	told     map[string]string
 	endedAt  map[string]time.Duration // when a user was told a job's end
 	finished map[worker.Task]bool
+	history  *History
 	Mistaken map[string]bool    // jobs that fail on every machine
 	Failed   []worker.Task      // starts that ended with an error
 	Overruns map[string]float64 // by class: how many times its estimate an array's task runs; 0: about once
@@ -130,7 +135,7 @@
 // sim adds a cluster with nothing in it.
 func (n *Net) sim(name string) *Sim {
 	s := &Sim{Net: n, Name: name, Nodes: map[string]*Host{}, Workers: map[string]*Worker{}, jobs: map[string]*wire.Job{},
-		aborted: map[string]time.Duration{}, told: map[string]string{}, endedAt: map[string]time.Duration{}}
+		aborted: map[string]time.Duration{}, told: map[string]string{}, endedAt: map[string]time.Duration{}, history: &History{}}
 	n.sims[name] = s
 	return s
 }
@@ -236,6 +241,31 @@
 	}
 }
 
+// Deafen lets nothing reach a host while what it sends arrives, or ends that.
+func (s *Net) Deafen(addr string, on bool) {
+	s.Trace("%s hears: %v", addr, !on)
+	s.deaf[addr] = on
+}
+
+// Isolate cuts a controller off from the state service and the other
+// controllers, not from its workers and users; the function it gives ends that.
+func (s *Sim) Isolate(name string) (heal func()) {
+	each := func(f func(a, b string)) {
+		f(s.addr(name), s.addr("state"))
+		for _, o := range s.all {
+			if o != name {
+				f(s.addr(name), s.addr(o))
+			}
+		}
+	}
+	s.Trace("%s is isolated", name)
+	each(s.cut)
+	return func() {
+		s.Trace("%s is isolated no more", name)
+		each(s.heal)
+	}
+}
+
 // CutZone cuts everything in a zone off from everything outside; the function
 // it gives heals the cut.
 func (s *Sim) CutZone(zone string) (heal func()) {
@@ -280,6 +310,9 @@
 
 // deliver carries one message.
 func (s *Net) deliver(from, to string, f func()) {
+	if s.deaf[to] {
+		return
+	}
 	if k := from + "|" + to; s.cuts[k] {
 		s.held[k] = append(s.held[k], f)
 		return
@@ -352,6 +385,15 @@
 		})
 	}
 	s.deliver(from, to, arrive)
+	if s.Copies != nil && path == "/v1/report" {
+		for _, d := range s.Copies() {
+			s.after(d, func() {
+				if srv := s.serve[to]; srv != nil {
+					srv(method, path, body, func(int, any) {})
+				}
+			})
+		}
+	}
 	if s.Twice != nil {
 		if d := s.Twice(to); d > 0 {
 			s.after(d, arrive)
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -72,13 +72,16 @@
 
 func (s *Sim) submit(sub *wire.Submission, tries int) {
 	id := *sub.ID
+	s.history.asked(id, s.now)
 	if j, bad := sub.Check(); bad == "" && s.jobs[id] == nil {
 		s.jobs[id] = j
+		s.history.job(id).may = atOnce(j, s.S.Team(j.Team))
 	}
 	s.call(s.addr("user"), s.anyNode(), "POST", "/v2/runs", sub, nil, 5*time.Second, func(status int) {
 		switch status {
 		case 200, 201:
 			s.Trace("%s accepted", id)
+			s.history.answered(id, s.now)
 			if s.told[id] == "" { // else a cancellation's answer came first
 				s.told[id] = wire.Pending
 			}
@@ -111,6 +114,7 @@
 		case status == 404:
 			s.broken("forgotten: %s gets 404", id)
 		case status == 200:
+			s.history.answered(id, s.now)
 			s.tell(id, out.Status)
 		}
 		if was := s.told[id]; was != wire.Done && was != wire.Withdrawn {
@@ -197,6 +201,7 @@
 			gpus += j.GPUs
 		}
 	})
+	s.history.started(whose, s.now)
 	team := s.S.Team(job.Team)
 	if team.CoresMax > 0 && cores > team.CoresMax+1e-9 || team.GPUsMax > 0 && gpus > team.GPUsMax+1e-9 {
 		s.broken("quota: %s uses %v cores", job.Team, cores)
@@ -215,6 +220,7 @@
 		home.finished = map[worker.Task]bool{}
 	}
 	home.finished[whose] = true
+	s.history.done(whose)
 	s.Trace("  %s done", t)
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -34,6 +34,7 @@
 	timer               int
 	lastSent            time.Duration
 	tasks               []*task
+	life                int
 }
 
 type task struct {
@@ -88,6 +89,26 @@
 	w.vanish()
 }
 
+// Back ends the machine and has it back under its name after a while: with no
+// tasks, no token, and numbers from the beginning.
+func (w *Worker) Back(d time.Duration) {
+	if w.gone {
+		return
+	}
+	w.s.Trace("%s ends and will be back", w.id)
+	w.leave("machine gone")
+	w.life++
+	w.up, w.tasks = false, nil
+	w.timer++
+	w.s.after(d, func() {
+		if w.gone || w.up {
+			return
+		}
+		w.up, w.busy, w.session, w.seq, w.token, w.begun = true, false, 1, 0, 0, w.s.now
+		w.report()
+	})
+}
+
 // Notice announces that the machine will be taken, and takes it.
 func (w *Worker) Notice(d time.Duration) {
 	w.s.Trace("%s gets a spot notice", w.id)
@@ -165,16 +186,16 @@
 	names := w.s.all
 	to := names[w.node%len(names)]
 	w.busy = true
-	sent, session := w.s.now, w.session
+	sent, session, life := w.s.now, w.session, w.life
 	w.lastSent = sent
 	r := w.body()
 	out := &answer{}
 	period := time.Duration(w.s.S.Deployment.Workers.Report * float64(time.Second))
 	w.s.call(w.addr, w.s.api(to), "POST", "/v1/report", r, out, 4*time.Second, func(status int) {
-		w.busy = false
-		if w.gone {
+		if w.gone || life != w.life {
 			return
 		}
+		w.busy = false
 		switch {
 		case status == 200:
 			if out.Token < w.token || session != w.session {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,6 +7,7 @@
 import (
 	"math"
 	"regexp"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -235,6 +236,28 @@
 	Tasks   []TaskReport `cbor:"pieces"`
 }
 
+// A worker waits so long for the answer to its report, and goes to the next
+// controller so long after that.
+const (
+	AnswerWithin = 4 * time.Second
+	NextAfter    = time.Second
+)
+
+// Check says what is not of the protocol's form; "" if all is.
+func (r *Report) Check() string {
+	switch {
+	case r.Machine == "":
+		return "no machine"
+	case r.Address == "" || r.Type == "" || r.Zone == "":
+		return "no address, type or zone"
+	case r.Session == 0:
+		return "no session"
+	case r.Notice != nil && !(*r.Notice >= 0 && *r.Notice < 1e9): // NaN, too
+		return "warningS is not a time"
+	}
+	return ""
+}
+
 // Newer tells whether r was made after (session, seq).
 func (r *Report) Newer(session, seq uint64) bool {
 	return r.Session > session || r.Session == session && r.Seq > seq
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -89,12 +89,19 @@
 	Notice   time.Duration
 	Noticed  bool
 
-	LastHeard  time.Duration
-	LastAnswer time.Duration // latest moment at which its lease may have been renewed
+	LastHeard time.Duration
+	// LastAnswer is the latest moment at which its lease may have been renewed, or
+	// a launch ordered that its session of that time may carry out: what is there
+	// is gone a lease after that.
+	LastAnswer time.Duration
+	begun      time.Duration // when its session was first seen
+	hearing    hearing
+	askedAt    time.Duration // how it is
 
 	Runs    map[RunKey]*Run
 	Version uint64 // grows with every change of the runs that are not over
 
+	reborn  bool   // back under its name: see Reborn
 	doubt   uint64 // token of direct orders whose fate is unknown; 0: none
 	ordered bool   // direct orders are in flight
 	pause   time.Duration
@@ -128,9 +135,16 @@
 // /orders: only the former is made after the last answer was taken or
 // dropped, so only the former disproves a launch in an answer.
 func (m *Machine) Report(r *wire.Report, now time.Duration, posted bool) ([]Event, bool) {
-	if !r.Newer(m.Session, m.Seq) {
+	if !posted {
+		m.heard() // it answers what we sent
+	}
+	if !m.newer(r) {
 		return nil, false
 	}
+	fresh := r.Session != m.Session
+	if fresh {
+		m.begun = now
+	}
 	m.Session, m.Seq = r.Session, r.Seq
 	m.Address, m.Type, m.Zone, m.Spot = r.Address, r.Type, r.Zone, r.Spot
 	m.LastHeard = now
@@ -147,6 +161,7 @@
 		m.Resolved = true
 	}
 	var events []Event
+	showed, missing := false, false
 	listed := map[RunKey]bool{}
 	for i := range r.Tasks {
 		t := &r.Tasks[i]
@@ -169,6 +184,7 @@
 			continue
 		}
 		was := run.State
+		showed = showed || was == "" && run.sent
 		run.State, run.Cause, run.Saved = t.State, t.Cause, t.Saved
 		if was == wire.Ended {
 			continue
@@ -185,15 +201,19 @@
 		if listed[run.RunKey] || !run.sent && run.State == "" {
 			continue
 		}
+		if r.Token < m.Base && m.reborn {
+			continue // orders from before its return may be on their way to it
+		}
 		if run.reapSent && r.Newer(run.reapS, run.reapSeq) {
 			delete(m.Runs, run.RunKey)
+			showed = showed || !fresh
 			continue
 		}
 		if run.State == "" && r.Session == run.session && !m.disproves(r, run, posted) {
 			continue // the launch may be executed yet
 		}
 		if run.State == "" && !run.Halt && r.Session == run.session {
-			run.sent = false // the answer with the launch was dropped: say it again
+			run.sent, missing = false, true // the answer with the launch was dropped: say it again
 			continue
 		}
 		delete(m.Runs, run.RunKey)
@@ -201,6 +221,10 @@
 			events = append(events, Event{run, Vanished})
 		}
 	}
+	m.listen(r.Seq, r.Token, posted, fresh, showed, missing, now)
+	if m.Resolved {
+		m.reborn = false
+	}
 	if len(events) > 0 {
 		m.Touch()
 	}
@@ -289,9 +313,12 @@
 			}
 		// Direct orders may be executed minutes later, so nothing borrowed is
 		// started by them: an answer is taken within seconds or dropped.
-		case run.State == "" && !run.sent && !run.Hold && m.Resolved && (run.Permit == nil || !direct && !run.lapsed(now)):
+		case run.State == "" && !run.sent && !run.Hold && m.Resolved && m.Hears() && (run.Permit == nil || !direct && !run.lapsed(now)):
 			launches = append(launches, wire.Command{Verb: wire.Launch, Task: run.String(), Try: run.Try})
 			run.sent, run.direct, run.session, run.seq = true, direct, m.Session, m.Seq
+			if direct { // its session may carry it out, and lasts for a lease at most
+				m.LastAnswer = max(m.LastAnswer, now)
+			}
 		}
 	}
 	return append(append(halts, reaps...), launches...)
@@ -306,14 +333,15 @@
 	if m.ordered || m.Address == "" || now < m.pause {
 		return false
 	}
-	if !m.Resolved {
+	if !m.Resolved || m.hearing.ask {
 		return true
 	}
 	for _, run := range m.Runs {
 		if run.Over() {
 			continue
 		}
-		if run.Halt && run.MayBeThere() && (run.told == 0 || run.State != wire.Flushing && now-run.told > repeat) || !run.Halt && run.State == "" && !run.Hold && !run.sent && run.Permit == nil {
+		if run.Halt && run.MayBeThere() && (run.told == 0 || run.State != wire.Flushing && now-run.told > repeat) ||
+			m.Hears() && !run.Halt && run.State == "" && !run.Hold && !run.sent && run.Permit == nil {
 			return true
 		}
 	}
@@ -331,18 +359,19 @@
 	return false
 }
 
-// Answered notes that a report is answered with 200 now.
+// Answered notes that its newest report is answered with 200 now.
 func (m *Machine) Answered(now time.Duration) {
 	if now > m.LastAnswer {
 		m.LastAnswer = now
 	}
+	m.hearing.follows, m.hearing.answered = m.Seq, m.Seq
 }
 
 // Doubtful tells whether orders are on their way or may yet be executed.
 func (m *Machine) Doubtful() bool { return m.ordered || m.doubt != 0 }
 
 // OrdersSent notes that direct orders are on their way.
-func (m *Machine) OrdersSent() { m.ordered = true }
+func (m *Machine) OrdersSent() { m.ordered, m.hearing.ask = true, false }
 
 // Pause holds direct orders back for a while after they failed.
 func (m *Machine) Pause(until time.Duration) { m.pause = until }
@@ -357,8 +386,12 @@
 	m.ordered = false
 	m.doubt = max(m.doubt, token)
 	m.Token = max(m.Token, token+1)
+	m.hearing.misses++
 }
 
+// Misses is how many orders in a row got no answer.
+func (m *Machine) Misses() int { return m.hearing.misses }
+
 // OrdersAnswered notes that they were executed or refused.
 func (m *Machine) OrdersAnswered() { m.ordered = false }
 
@@ -369,10 +402,14 @@
 
 // Expire records that the lease is over: every run that may have been there
 // is gone, and later messages of that session count for nothing.
-func (m *Machine) Expire() []Event {
-	m.Resolved = true
+func (m *Machine) Expire(now time.Duration) []Event {
+	m.Resolved, m.reborn = true, false
 	m.doubt = 0
-	m.Seq = math.MaxUint64
+	if m.begun <= m.LastAnswer { // else it is of a session of which we answered nothing
+		m.Seq = math.MaxUint64
+	}
+	m.unheard(now, false)
+	m.hearing.ask, m.hearing.follows = false, 0
 	m.Touch()
 	var events []Event
 	for run := range m.All() {
@@ -387,6 +424,16 @@
 	return events
 }
 
+// MayHold tells whether something is, or may be, there.
+func (m *Machine) MayHold() bool {
+	for _, run := range m.Runs {
+		if run.MayBeThere() {
+			return true
+		}
+	}
+	return false
+}
+
 // Place adds a run that is to be launched.
 func (m *Machine) Place(t Task, try uint64, hold bool, now time.Duration) *Run {
 	run := &Run{RunKey: RunKey{t, try}, Hold: hold, Placed: now}
--- a/internal/worker/worker_test.go
+++ b/internal/worker/worker_test.go
@@ -97,7 +97,7 @@
 			if !m.LeaseOver(17*time.Second, 14*time.Second, 0.0005) {
 				return nil
 			}
-			return m.Expire()
+			return m.Expire(time.Hour)
 		}, true},
 	} {
 		m := known()
@@ -116,7 +116,7 @@
 		t.Error("over while the worker's clock may show less than lease_s")
 	}
 	// Messages of the old session count for nothing after that.
-	m.Expire()
+	m.Expire(time.Hour)
 	if _, ok := m.Report(report(99, base), time.Minute, true); ok {
 		t.Error("a late report of the ended session was believed")
 	}
