--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -87,6 +87,13 @@
 	return s
 }
 
+// live tells whether the cache has the job. One whose record cannot be read is known
+// all the same, and can be cancelled; its users would else get no answer for ever.
+func (in *Intake) live(id string) bool {
+	_, ok := in.h.Ledger().Get(part.JobKey(id))
+	return ok || in.h.Job(id) != nil
+}
+
 func (in *Intake) liveState(id string) *wire.JobState {
 	done, running, started := in.h.Counts(id)
 	s := &wire.JobState{ID: id, Status: wire.Pending, Done: &done, Running: &running}
@@ -283,12 +290,14 @@
 // is gone, so nobody can start or finish the job afterwards.
 func (in *Intake) withdraw(id string, reply Reply, tries int) {
 	l := in.h.Ledger()
-	rec := in.h.Job(id)
-	if rec == nil || tries > 5 {
+	if !in.live(id) || tries > 5 {
 		later(reply, "try again")
 		return
 	}
-	tasks := rec.Job.Tasks
+	tasks := 0
+	if rec := in.h.Job(id); rec != nil {
+		tasks = rec.Job.Tasks
+	}
 	answered := false
 	once := func(status int, body any, retry int) {
 		if !answered {
@@ -337,7 +346,7 @@
 		k.fail()
 		return
 	}
-	if in.h.Job(id) == nil {
+	if !in.live(id) {
 		in.look(k)
 		return
 	}
@@ -347,7 +356,7 @@
 			k.final(f)
 		case !ok:
 			k.fail()
-		case in.h.Job(id) != nil:
+		case in.live(id):
 			k.known()
 		default:
 			in.look(k)
@@ -421,7 +430,7 @@
 				switch {
 				case !ok || k.tries > 3:
 					k.fail()
-				case in.h.Job(k.id) != nil:
+				case in.live(k.id):
 					k.known()
 				default:
 					k.tries++
--- a/internal/standin/addition_test.go
+++ b/internal/standin/addition_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"strings"
 	"testing"
@@ -9,6 +10,8 @@
 
 	"curlewspool/internal/wire"
 	"curlewspool/internal/worker"
+
+	"github.com/fxamacker/cbor/v2"
 )
 
 // Days of the troubles that the users added (docs/design.md, "An addition to the
@@ -140,13 +143,13 @@
 			return burst(s, 14, 3, 4, 4)
 		}, nil},
 		{"copies-of-a-deleted-machine", func(s *Sim, w []*Worker) []string {
-			s.copied(6, 40, 25, 33, 45)
+			s.copied(6, 40, 50, 53, 56)
 			s.At(13, func() { w[2].Die(); w[3].Die() })
-			s.At(100, func() { s.Trace("%d machines are known", s.leader().Node.Describe().Machines) })
-			s.At(24, func() { h := s.leader(); h.Crash(); s.after(4*time.Second, h.Start) })
+			s.crash(45, 47.5, s.all...) // nobody remembers what was deleted
+			s.At(70, func() { s.Trace("%d machines are known", s.leader().Node.Describe().Machines) })
 			return burst(s, 14, 3, 4, 4)
 		}, func(t *testing.T, s *Sim, w []*Worker) {
-			if !strings.Contains(s.Text(), " 100.00 4 machines are known") {
+			if !strings.Contains(s.Text(), " 70.00 4 machines are known") {
 				t.Error("ghosts are known as machines")
 			}
 		}},
@@ -207,7 +210,7 @@
 			return burst(s, 14, 3, 4, 4)
 		}, nil},
 		{"the-largest-among-many-small", func(s *Sim, w []*Worker) []string {
-			s.Submit(10, Spec("wk-4", wire.Gang, 5, 4, 10, func(x *wire.Submission) { x.Trade = text("gangs") }))
+			s.Submit(10, Spec("wk-4", wire.Gang, 6, 4, 10, func(x *wire.Submission) { x.Trade = text("gangs") }))
 			r := rand.New(rand.NewPCG(5, 5))
 			for k := range 150 {
 				s.Submit(8+float64(k)*1.7, Spec(fmt.Sprintf("wk-%d", 100+k), wire.Array, 1, 4, 6+4*r.Float64(), func(x *wire.Submission) {
@@ -215,7 +218,11 @@
 				}))
 			}
 			return []string{"wk-4"}
-		}, nil},
+		}, func(t *testing.T, s *Sim, w []*Worker) {
+			if n := strings.Count(s.Text(), "gang wk-4 runs"); n != 1 {
+				t.Errorf("the gang began %d times", n)
+			}
+		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			ids := []string{"wk-1", "wk-2"}
@@ -304,3 +311,103 @@
 		*begins = 251 * time.Second
 	}
 }
+
+// A job whose record cannot be read stays known and can be cancelled: nothing that
+// only one job needs may leave its users without an answer.
+func TestUnreadableRecord(t *testing.T) {
+	s := New(230)
+	s.API()
+	fleet(s, 2, 0)
+	s.history.Calm = 10 * time.Second
+	s.Submit(5, Spec("wk-1", wire.Array, 4, 1, 3, nil))
+	s.Submit(5, Spec("wk-2", wire.Array, 40, 1, 30, nil))
+	s.At(10, func() {
+		s.State.rev++
+		v, _ := cbor.Marshal("torn")
+		e := wire.Entry{Key: "a/j/wk-2", Value: v, Stamp: s.State.rev}
+		s.State.data[e.Key] = e
+		s.State.log = append(s.State.log, wire.Change{Put: e.Key, Value: v, Stamp: e.Stamp})
+	})
+	s.crash(12, 14, s.all...) // nobody remembers what it was
+	s.Abort(200, "wk-2")
+	s.Start()
+	s.Run(195)
+	if wrong := s.Judge(); strings.Contains(fmt.Sprint(wrong), "forgotten") {
+		t.Error(wrong)
+	}
+	s.Run(260)
+	told(t, s, wire.Done, "wk-1")
+	told(t, s, wire.Withdrawn, "wk-2")
+	if len(s.Broken) > 0 {
+		t.Error(s.Broken)
+	}
+}
+
+// Reports that are not of the protocol's form get 400; those that prove nothing get
+// 503 or 421 and are not acted on: no token is drawn, no machine recorded, none that
+// works taken for another. A number that jumps ahead is in order.
+func TestBadReports(t *testing.T) {
+	s := New(231)
+	s.API()
+	w := fleet(s, 4, 0)
+	s.Submit(5, Spec("wk-1", wire.Array, 8, 1, 20, nil))
+	good := func(edit func(r *wire.Report)) *wire.Report {
+		r := &wire.Report{Machine: w[0].id, Address: w[0].addr, Type: "small", Zone: "a", Session: 1, Seq: 1, Tasks: []wire.TaskReport{}}
+		edit(r)
+		return r
+	}
+	nan := math.NaN()
+	counter := uint64(0)
+	s.At(9.9, func() { counter = s.State.data["a/c/token"].Stamp })
+	for i, c := range []struct {
+		name string
+		body any
+		want string
+	}{
+		{"nothing", map[string]any{}, "400"},
+		{"not a map", []int{1, 2}, "400"},
+		{"words for numbers", map[string]any{"kiln": w[0].id, "shift": "one"}, "400"},
+		{"no machine", good(func(r *wire.Report) { r.Machine = "" }), "400"},
+		{"no address", good(func(r *wire.Report) { r.Address = "" }), "400"},
+		{"no session", good(func(r *wire.Report) { r.Session = 0 }), "400"},
+		{"a notice that is no time", good(func(r *wire.Report) { r.Notice = &nan }), "400"},
+		{"older than what is known", good(func(r *wire.Report) {}), "503 421"},
+		{"a token that nobody gave", good(func(r *wire.Report) { r.Seq, r.Token = 1000, 1<<62 }), "503 421"},
+		{"a machine that is not there", good(func(r *wire.Report) { r.Machine, r.Address = "i-999", "w-i-999" }), "503 421"},
+	} {
+		for _, n := range s.all {
+			s.At(10+float64(i)/10, func() {
+				s.call("test", s.api(n), "POST", "/v1/report", c.body, nil, 5*time.Second, func(status int) {
+					if !strings.Contains(c.want, fmt.Sprint(status)) || status == 0 {
+						t.Errorf("%s gets %d of %s, want %s", c.name, status, n, c.want)
+					}
+				})
+			})
+		}
+	}
+	s.At(14, func() {
+		if now := s.State.data["a/c/token"].Stamp; now != counter {
+			t.Error("a token was drawn for a report that proves nothing")
+		}
+		w[1].seq += 1000
+	})
+	s.At(25, func() {
+		for _, n := range s.names() {
+			d := s.Nodes[n].Node.Describe()
+			if d.Machines != 4 {
+				t.Errorf("%s knows %d machines, 4 are there", n, d.Machines)
+			}
+			for _, p := range d.Parts {
+				if len(p.Deaf) > 0 || p.Silent > 0 {
+					t.Errorf("part %d: deaf %v, silent %d", p.Part, p.Deaf, p.Silent)
+				}
+			}
+		}
+	})
+	s.Start()
+	s.Run(60)
+	told(t, s, wire.Done, "wk-1")
+	if n := strings.Count(s.Text(), "starts wk-1/"); n != 8 || len(s.Broken) > 0 {
+		t.Errorf("%d starts of 8 tasks, broken %v", n, s.Broken)
+	}
+}
--- a/internal/standin/random_test.go
+++ b/internal/standin/random_test.go
@@ -12,7 +12,7 @@
 	"curlewspool/internal/wire"
 )
 
-var days = flag.Int("days", 60, "random days to play")
+var days = flag.Int("days", 80, "random days to play")
 var firstDay = flag.Int("first", 1, "the first one's seed")
 
 // troubles begin at a time and are over by themselves; each says what it does.
@@ -101,6 +101,12 @@
 	{"a machine is deaf", func(s *Sim, r *rand.Rand, w []*Worker, at, length float64) {
 		s.deafFor(at, at+3*length, w[r.IntN(len(w))])
 	}},
+	{"some machines are deaf for good", func(s *Sim, r *rand.Rand, w []*Worker, at, _ float64) {
+		for range 1 + r.IntN(3) {
+			x := w[r.IntN(len(w))]
+			s.At(at, func() { s.Deafen(x.Addr(), true) })
+		}
+	}},
 	{"a third of the machines are deaf", func(s *Sim, r *rand.Rand, w []*Worker, at, length float64) {
 		for _, x := range w {
 			if r.IntN(3) == 0 {
@@ -170,6 +176,12 @@
 			s.Nodes[n].set.Dispatch.Anywhere = 0
 		}
 	}
+	if seed%4 >= 2 { // a machine that nobody answers is back at a controller within its lease
+		for _, n := range s.all {
+			d := &s.Nodes[n].set.Deployment.Workers
+			d.Report, d.Lease, d.Cancel = 3, 26, 51
+		}
+	}
 	w := fleet(s, 4+r.IntN(5), r.IntN(3))
 	for range r.IntN(4) {
 		w = append(w, s.AddWorker("small", []string{"a", "b"}[r.IntN(2)], true))
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -429,7 +429,7 @@
 // Start starts the controller's process.
 func (h *Host) Start() {
 	h.life++
-	h.up, h.start = true, h.s.now
+	h.up, h.frozen, h.stuck, h.start = true, false, nil, h.s.now
 	h.Node = node.New(&world{h, h.life}, h.set)
 	h.Node.Federate(&world{h, h.life})
 	h.Node.Start()
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -32,9 +32,11 @@
 			switch {
 			case path == "/v1/report":
 				r := &wire.Report{}
-				if wire.Decode(body, r) == nil {
-					h.Node.Report(r, reply)
+				if wire.Decode(body, r) != nil {
+					reply(400, nil)
+					return
 				}
+				h.Node.Report(r, reply)
 			case method == "POST" && path == "/v2/runs":
 				h.Node.Submit(body, 0, user)
 			case method == "POST":
