Blame: after a restart a mistaken job's tries go on; a new life's session counts

And on a reading: a machine that is back may carry out orders of its old life until a lease after it came back, not after they were sent. Change: who is mistaken by the word of others alone counts as tried twice (heardProbes); Reborn counts as a moment from which a lease may run.

--- a/internal/part/fault.go
+++ b/internal/part/fault.go
@@ -80,6 +80,11 @@
 		switch likely := p.blame.Job(id); {
 		case !w.mistaken && likely >= s.Hold:
 			w.mistaken, w.dirty = true, true // its other owners, and the next, are to know
+			if len(w.failedOn) == 0 && w.nplaced == 0 {
+				// By what others hold against it, who try it, or did before a restart.
+				w.probes = heardProbes
+				w.notTo = now + p.report()<<heardProbes
+			}
 			slog.Info("part: job fails on every machine", "part", p.K, "job", id, "machines", len(w.failedOn), "likely", likely)
 			p.callOff(w)
 		case w.mistaken && likely < 0.5:
@@ -104,6 +109,11 @@
 	}
 }
 
+// heardProbes is how many failed tries a job counts as having had that is mistaken by
+// the word of others alone. (After a restart of all controllers each part tried each
+// such job at once, as if it were the first time.)
+const heardProbes = 2
+
 // callOff takes back what of a mistaken job has not begun to run: it holds room and
 // fetches images for nothing. What runs fails soon, or shows that it was not.
 func (p *Part) callOff(w *Work) {
--- a/internal/standin/days_test.go
+++ b/internal/standin/days_test.go
@@ -433,3 +433,27 @@
 	told(t, s, wire.Done, "wk-2", "wk-3")
 	told(t, s, "", "wk-4")
 }
+
+// After a restart of all controllers a mistaken job is tried where its tries had been,
+// not at once in each part as if for the first time.
+func TestMistakenJobAfterARestart(t *testing.T) {
+	s := New(24)
+	s.API()
+	fleet(s, 6, 0)
+	s.Mistaken = map[string]bool{"wk-1": true}
+	s.Submit(5, Spec("wk-1", wire.Array, 40, 1, 20, nil))
+	s.Submit(6, Spec("wk-2", wire.Array, 6, 1, 60, nil))
+	s.crash(40, 42, s.all...)
+	before, after := 0, 0
+	s.At(42, func() { before = len(s.Failed) })
+	s.At(48, func() { after = len(s.Failed) })
+	s.Start()
+	s.Run(150)
+	if before == 0 || after != before {
+		t.Errorf("%d failed starts before the restart, %d more soon after it, want none", before, after-before)
+	}
+	if n := len(s.Failed); n == after {
+		t.Error("it is tried no more")
+	}
+	told(t, s, wire.Done, "wk-2")
+}
--- a/internal/worker/hearing.go
+++ b/internal/worker/hearing.go
@@ -106,12 +106,14 @@
 // told by GET /status, whose answer is newer than the question; a late copy of an
 // old report looks the same.) Orders of its old life that are on their way could be
 // carried out by the new one, so what may be there counts as there until a report
-// shows a token that is higher than all that were given.
+// shows a token that is higher than all that were given, or for a lease from now: its
+// session may carry them out, and began before now.
 func (m *Machine) Reborn(now time.Duration) {
 	m.Token++
 	m.Base = m.Token
 	m.Resolved, m.reborn = false, true
 	m.Session, m.Seq, m.begun = 0, 0, now
+	m.LastAnswer = max(m.LastAnswer, now)
 	for _, run := range m.Runs {
 		run.session, run.seq, run.reapS, run.reapSeq = 0, 0, 0, 0
 	}
--- a/internal/worker/hearing_test.go
+++ b/internal/worker/hearing_test.go
@@ -98,7 +98,10 @@
 	m := known()
 	run := m.Place(Task{"wk-1", 0}, 1, false, 0)
 	m.Orders(true, 0) // on its way
-	m.Reborn(time.Second)
+	m.Reborn(40 * time.Second)
+	if m.LeaseOver(50*time.Second, 14*time.Second, 0) {
+		t.Error("gone by the lease of its old life, whose orders the new one may carry out")
+	}
 	ev, ok := m.Report(report(1, 0), time.Second, true)
 	if !ok || vanished(ev) > 0 || m.Runs[run.RunKey] == nil || m.Resolved {
 		t.Error("gone by a report that its old life's orders may follow")
