--- a/internal/node/lend.go
+++ b/internal/node/lend.go
@@ -11,34 +11,45 @@
 // chunks moved.
 
 // lend finds machines in other parts for gangs that their own part is too
-// small for: such a gang is in effect the head of all parts.
+// small for: such a gang is in effect the head of all parts. So is the oldest of those
+// that should have begun and find nothing free in theirs.
 func (n *Node) lend() {
 	statuses := n.statuses()
 	n.short = nil
-	var oldest *part.JobRecord
+	var oldest *mesh.Gap
+	at := func(g *mesh.Gap) float64 { return n.jobs[g.Job].At }
 	for _, s := range statuses {
 		for _, g := range s.Gaps {
-			rec := n.jobs[g.Job]
-			if g.Short <= 0 || rec == nil {
+			if n.jobs[g.Job] == nil || g.Short <= 0 && g.Late <= 0 {
 				continue
 			}
-			n.short = append(n.short, g)
-			if oldest == nil || rec.At < oldest.At {
-				oldest = rec
+			if g.Short > 0 {
+				n.short = append(n.short, g)
+			}
+			if oldest == nil || at(g) < at(oldest) {
+				oldest = g
 			}
 		}
 	}
 	for _, g := range n.short {
-		rec := n.jobs[g.Job]
-		n.lendFor(&rec.Job, g, statuses, rec == oldest && n.Wall()-rec.At > n.s.Score.Begin/4)
+		if g != oldest {
+			n.lendFor(&n.jobs[g.Job].Job, g, int(g.Short), statuses, false)
+		}
+	}
+	if oldest == nil {
+		return
+	}
+	if oldest.Short <= 0 { // what comes up meanwhile is for it, too
+		n.short = append(n.short, oldest)
 	}
+	n.lendFor(&n.jobs[oldest.Job].Job, oldest, int(max(oldest.Short, oldest.Late)), statuses, n.Wall()-at(oldest) > n.s.Score.Begin/4)
 }
 
 // lendFor asks owners for machines for a gang; full: for such as have nothing free,
 // too, which take nothing new until they are empty. (Where small tasks fill whole
 // machines none is ever told as free, and a gang of five waited until they stopped
 // coming.) That is for one gang at a time, the oldest, when it should have begun soon.
-func (n *Node) lendFor(j *wire.Job, g *mesh.Gap, statuses []*mesh.Status, full bool) {
+func (n *Node) lendFor(j *wire.Job, g *mesh.Gap, left int, statuses []*mesh.Status, full bool) {
 	if t := n.s.Team(j.Team); t == nil || int(g.Part) >= len(n.names) {
 		return
 	}
@@ -66,7 +77,6 @@
 			}
 		}
 	}
-	left := int(g.Short)
 	asked := map[string]bool{}
 	one := func(id, typ, z string, spot bool, of int) {
 		if left <= 0 || of == int(g.Part) || asked[id] || zone != "" && z != zone ||
--- a/internal/part/moves.go
+++ b/internal/part/moves.go
@@ -36,7 +36,7 @@
 			}
 			gaps = append(gaps, &mesh.Gap{StartsS: starts,
 				Job: w.Rec.Job.ID, Tasks: int32(w.idle), WaitedS: (now - w.queuedAt).Seconds(),
-				Part: int32(p.K), Short: int32(p.short(w, now))})
+				Part: int32(p.K), Short: int32(p.short(w, now)), Late: int32(p.late(w, now))})
 		}
 	}
 	out := &mesh.PartStatus{Part: int32(p.K), Load: s.Load}
@@ -84,6 +84,28 @@
 	return max(0, j.Tasks-Holds(j, zone))
 }
 
+// late counts the tasks of a gang that has not begun, though it should soon, for which
+// nothing is free now. Its part could hold it; but what is there may be other gangs'
+// for minutes. (Hunted day visitors 525561969326: a gang of three waited for 416 s in a
+// part of five large machines, while later ones began at once in other parts.)
+func (p *Part) late(w *Work, now time.Duration) int {
+	j := &w.Rec.Job
+	if s := &p.h.Settings().Score; !w.gang() || p.toBegin(w, p.h.Wall()-w.Rec.At) < s.BeginWeight {
+		return 0
+	}
+	zone := map[string]int{}
+	for _, m := range p.machines() {
+		r := p.roomOf(m, now)
+		if r == nil || !p.allowed(m, j) {
+			continue
+		}
+		for free := *r; zone[m.Zone] < j.Tasks && free.fits(j); free.take(j) {
+			zone[m.Zone]++
+		}
+	}
+	return max(0, j.Tasks-Holds(j, zone))
+}
+
 // Holds gives how many of a job's tasks may be together in the room that zones
 // have: in the best of them for a job in one zone, at most half of the tasks (the
 // larger half) in each for one apart. (Without the latter a gang apart went to and
