Entitlement: an owner acts on the older of its renewal and its news

Cause: an owner's right to answer workers was its grant alone. A service that refuses it for less than the grant's life and then goes down for all may let one renewal through and no news; the owner then renewed leases for another life on news from before a cancellation.

Change: Grant.Valid counts from the older of the last renewal and the sending of the newest answered /changes, which are asked for as often as the grant is renewed. Answers start nothing on news older than report_s; direct halts no longer wait for what only launches need; halts come first in an answer, and a report is not answered when they do not fit. The grant's life allows for the clocks' drift; settings whose cancel_s leaves no time for a grant are refused, with one line.

Stand-in: open watches of a refused controller wait as in an outage (PROTOCOL, "Limits and errors"), requests carried out late without an answer, slow answers.

--- a/cmd/curlewspool/main.go
+++ b/cmd/curlewspool/main.go
@@ -83,7 +83,14 @@
 	if config == "" {
 		return nil, fmt.Errorf("--config FILE is missing")
 	}
-	return settings.Load(config, ini)
+	s, err := settings.Load(config, ini)
+	if err != nil {
+		return nil, err
+	}
+	for _, w := range s.Warnings() {
+		slog.Warn("settings: " + w)
+	}
+	return s, nil
 }
 
 func logging() error {
--- a/internal/ledger/grant.go
+++ b/internal/ledger/grant.go
@@ -8,14 +8,20 @@
 	"curlewspool/internal/wire"
 )
 
-// Grant is the lease that this controller's keys hang on.
+// Grant is the lease that this controller's keys hang on, and with it how long this
+// controller may act as their owner: for the grant's life from the older of two
+// moments, the last renewal and the one as of which the cache is proven current. A
+// renewal says nothing of what was decided meanwhile. (Refused alone for less than
+// the grant's life, then out with everybody: a renewal between the two let an owner
+// answer workers for two lives on news from before a cancellation. And an owner whose
+// key had been taken by force went on for longer than the taker waits.)
 type Grant struct {
 	l      *Ledger
 	ID     uint64
 	life   time.Duration
 	every  time.Duration
 	drift  float64
-	until  time.Duration // by our clock, less drift: the key cannot be gone before
+	sent   time.Duration // the last renewal, by our clock
 	busy   bool
 	Gained func()
 	Lost   func()
@@ -27,21 +33,11 @@
 	g.tick()
 }
 
-// Until is the moment up to which the grant surely holds; 0 without one.
-func (g *Grant) Until() time.Duration {
-	if g.ID == 0 {
-		return 0
-	}
-	return g.until
-}
-
-// Valid tells whether it surely holds now.
-func (g *Grant) Valid() bool { return g.ID != 0 && g.l.w.Now() < g.until }
-
-// hold notes a renewal that was sent at the given time. The service counts
-// from when it executed it, which is later; the clocks may drift apart.
-func (g *Grant) hold(sent time.Duration) {
-	g.until = sent + time.Duration(float64(g.life)*(1-2*g.drift))
+// Valid tells whether this controller may act on its strength now. The service
+// counts a renewal from when it executed it, which is later than it was sent; the
+// clocks may drift apart.
+func (g *Grant) Valid() bool {
+	return g.ID != 0 && g.l.w.Now() < min(g.sent, g.l.seenOK)+time.Duration(float64(g.life)*(1-2*g.drift))
 }
 
 func (g *Grant) tick() {
@@ -65,7 +61,7 @@
 			func(status int) {
 				if status == 200 || status == 201 {
 					g.ID = out.Lease
-					g.hold(sent)
+					g.sent = sent
 					slog.Info("state: grant", "permit", g.ID)
 					if g.Gained != nil {
 						g.Gained()
@@ -81,7 +77,7 @@
 		if g.ID == id {
 			switch status {
 			case 200, 204:
-				g.hold(sent)
+				g.sent = sent
 			case 404:
 				g.lost()
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,15 +105,9 @@
 
 func (n *Node) lease() time.Duration { return world.Seconds(n.s.Deployment.Workers.Lease) }
 
-// grantLife is how long ownership outlives silence. Long enough for the
-// state service's ordinary outages not to cost workers their leases; short
-// enough that a task whose owner is cut off from the news of an abort is gone
-// within cancel_s: the owner answers no later than grantLife after the cut
-// and the worker's lease ends lease_s after that.
-func (n *Node) grantLife() time.Duration {
-	cancel := world.Seconds(n.s.Deployment.Workers.Cancel)
-	return min(time.Duration(float64(n.lease())*n.s.Grants.Life), (cancel-n.lease())*9/10)
-}
+func (n *Node) grantLife() time.Duration { return world.Seconds(n.s.GrantLife()) }
+
+func (n *Node) renewEvery() time.Duration { return world.Seconds(n.s.RenewEvery()) }
 
 func (n *Node) heartbeat() time.Duration { return max(n.lease()/40, 250*time.Millisecond) }
 
@@ -123,7 +117,7 @@
 	g := &n.l.Grant
 	g.Gained = n.claimOwn
 	g.Lost = n.book.DropAll
-	g.Keep(n.grantLife(), time.Duration(float64(n.grantLife())*n.s.Grants.Renew), settings.Drift)
+	g.Keep(n.grantLife(), n.renewEvery(), settings.Drift)
 	n.catalog()
 	n.beat()
 	n.tick()
@@ -258,7 +252,9 @@
 	if !n.l.Grant.Valid() && (len(n.parts) > 0 || n.fleet != nil) {
 		n.book.DropAll()
 	}
-	if n.l.Loaded() && n.l.Age() > n.launchAge()/2 && len(n.parts) > 0 {
+	// News and renewals are of one age, or the older of the two shortens the grant.
+	// (A watch that was opened late in an outage waits for a change.)
+	if n.l.Loaded() && n.l.Age() > min(n.launchAge()/2, n.renewEvery()) {
 		n.l.Refresh()
 	}
 	n.ownership()
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -62,7 +62,7 @@
 // renewed it, at the latest, when the key was taken from it.
 func (n *Node) mayAnswer(until float64) time.Duration {
 	left := world.Seconds(until - n.Wall() + 2*n.s.Deployment.SkewMs/1000)
-	return max(min(left, n.grantLife()), time.Duration(2*float64(n.grantLife())*n.s.Grants.Renew))
+	return max(min(left, n.grantLife()), 2*n.renewEvery())
 }
 
 // release gives a part up, unless an owner before may still answer its machines:
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -75,9 +75,15 @@
 		reply(503, &wire.Problem{Error: "waits for a partner's word"})
 		return
 	}
+	if m.Crowded(n.w.Now()) {
+		m.Refused(r, false)
+		n.Order(p, m)
+		reply(503, &wire.Problem{Error: "more is to stop than an answer holds"})
+		return
+	}
 	p.Settle(m)
 	m.Answered(n.w.Now())
-	reply(200, &wire.Commands{Token: m.Token, Orders: notNil(m.Orders(false, n.w.Now()))})
+	reply(200, &wire.Commands{Token: m.Token, Orders: notNil(m.Orders(false, n.MayLaunch(), n.w.Now()))})
 }
 
 func notNil(c []wire.Command) []wire.Command {
@@ -90,12 +96,12 @@
 // Order sends a machine its orders directly. With nothing to order it still
 // brings the part's token, and the answer is a report.
 func (n *Node) Order(p *part.Part, m *part.Machine) {
-	if n.owns(p.K) != p || m.Ordered() || m.Address == "" || !n.MayLaunch() || n.pushesFull() {
+	if n.owns(p.K) != p || m.Ordered() || m.Address == "" || n.pushesFull() {
 		return // the next tick presses again
 	}
 	n.pushing++
 	m.OrdersSent()
-	body := &wire.Commands{Token: m.Token, Session: max(m.Session, 1), Orders: notNil(m.Orders(true, n.w.Now()))}
+	body := &wire.Commands{Token: m.Token, Session: max(m.Session, 1), Orders: notNil(m.Orders(true, n.MayLaunch(), n.w.Now()))}
 	out, session, seq := &wire.Report{}, m.Session, m.Seq
 	limit := min(2*time.Second, world.Seconds(n.s.Deployment.Workers.Report))
 	n.w.Call(m.Address, "POST", "/orders", body, out, limit, func(status int) {
--- a/internal/part/bench_test.go
+++ b/internal/part/bench_test.go
@@ -58,7 +58,7 @@
 						b.Fatal("refused")
 					}
 					p.Settle(m)
-					m.Orders(false, p.h.Now())
+					m.Orders(false, true, p.h.Now())
 					for _, run := range m.Runs { // as if reaped
 						if run.Over() {
 							m.Drop(run)
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -255,7 +255,7 @@
 }
 
 func (p *Part) press(m *Machine) {
-	if m.Pressing(p.h.Now()) {
+	if m.Pressing(p.h.MayLaunch(), p.h.Now()) {
 		p.h.Order(p, m)
 	}
 }
--- a/internal/part/tenure_test.go
+++ b/internal/part/tenure_test.go
@@ -88,7 +88,7 @@
 // The record that names the machine must be written before the first launch.
 func TestRecordBeforeLaunch(t *testing.T) {
 	w, p := queued(t)
-	if o := p.Machines["i-1"].Orders(false, 0); len(o) != 0 {
+	if o := p.Machines["i-1"].Orders(false, true, 0); len(o) != 0 {
 		t.Fatalf("ordered before the record is stored: %v", o)
 	}
 	w.settle()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -181,6 +181,9 @@
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	optional := iniPath == ""
+	if err := s.cancelBound(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
 	if optional {
 		iniPath = filepath.Join(filepath.Dir(path), "curlewspool.ini")
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -49,6 +49,8 @@
 		{name: "missing", old: `area = "a"` + "\n", want: "missing or invalid: area"},
 		{name: "wrong type", old: "lease_s = 14.0", now: `lease_s = "x"`, want: "lease_s"},
 		{name: "lease longer than a cancellation", old: "cancel_s = 34.0", now: "cancel_s = 3.0", want: "cancel_s"},
+		{name: "a cancellation as long as a lease", old: "cancel_s = 34.0", now: "cancel_s = 14.0", want: "cancel_s"},
+		{name: "no room for a grant", old: "cancel_s = 34.0", now: "cancel_s = 14.1", want: "deployment.workers.cancel_s is 14.1, must be"},
 		{name: "ini", ini: "[score]\naging = 2\n[rank]\nmax = 5\n"},
 		{name: "misspelt key", ini: "[score]\nageing = 2\n", want: "unknown setting ageing in [score]"},
 		{name: "misspelt section", ini: "[scores]\naging = 2\n", want: "unknown section [scores]"},
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -28,6 +28,7 @@
 	next    uint64
 	open    []func(final bool) bool
 	Writes  int
+	Slow    func() time.Duration // how late an answer leaves; nil: at once
 	// What of the limits was used.
 	requests, changes budget
 }
@@ -72,6 +73,10 @@
 type object map[string]any
 
 func (st *State) serve(method, path string, body []byte, reply func(int, any)) {
+	if st.Slow != nil {
+		at, soon := st.Slow(), reply
+		reply = func(status int, answer any) { st.s.after(at, func() { soon(status, answer) }) }
+	}
 	if st.Down {
 		reply(503, object{"error": "trouble"})
 		return
@@ -275,10 +280,10 @@
 // Outage stops the service for a while.
 func (st *State) Outage(d time.Duration) {
 	st.s.Trace("state service down")
-	st.Down = true
+	st.Down, st.s.down[st.Addr] = true, true
 	st.s.after(d, func() {
 		st.s.Trace("state service back")
-		st.Down = false
+		st.Down, st.s.down[st.Addr] = false, false
 		for _, id := range slices.Sorted(maps.Keys(st.grants)) {
 			st.touch(id)
 		}
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -33,7 +33,8 @@
 	serve  map[string]server // by address
 	cuts   map[string]bool
 	deaf   map[string]bool // addresses that nothing reaches, though they are heard
-	refuse map[string]bool // requests that get 503, by "from|to"
+	refuse map[string]bool // requests that get 503, by "from|to"; open watches wait
+	down   map[string]bool // services in an outage, by address
 	held   map[string][]func()
 	Traced []string
 	Broken []string
@@ -45,12 +46,15 @@
 	// reach nobody.
 	Copies func() []time.Duration
 	seen   *Seen
+	// Late says of a request whether it gets no answer, and after how long it is
+	// carried out all the same.
+	Late func(from, to, path string) (after time.Duration, ok bool)
 	// OnCall is told each request as it is made.
 	OnCall func(from, method, path string)
 }
 
 func newNet(seed uint64) *Net {
-	return &Net{refuse: map[string]bool{}, rnd: rand.New(rand.NewPCG(seed, 1)), serve: map[string]server{}, cuts: map[string]bool{}, deaf: map[string]bool{},
+	return &Net{refuse: map[string]bool{}, down: map[string]bool{}, rnd: rand.New(rand.NewPCG(seed, 1)), serve: map[string]server{}, cuts: map[string]bool{}, deaf: map[string]bool{},
 		held: map[string][]func(){}, sims: map[string]*Sim{}, hosts: map[string]*Host{}}
 }
 
@@ -350,7 +354,7 @@
 	if s.OnCall != nil {
 		s.OnCall(from, method, path)
 	}
-	over := false
+	over, mute := false, false
 	s.after(timeout, func() {
 		if !over {
 			over = true
@@ -365,13 +369,18 @@
 		if s.refuse[from+"|"+to] {
 			srv = func(_, _ string, _ []byte, reply func(int, any)) { reply(503, nil) }
 		}
-		srv(method, path, body, func(status int, answer any) {
+		var answered func(status int, answer any)
+		answered = func(status int, answer any) {
+			if strings.HasPrefix(path, "/changes") && status == 200 && (s.refuse[from+"|"+to] || s.down[to]) {
+				s.after(10*time.Millisecond, func() { answered(status, answer) })
+				return
+			}
 			var b []byte
 			if answer != nil {
 				b = wire.Encode(answer)
 			}
 			s.deliver(to, from, func() {
-				if over {
+				if over || mute {
 					return
 				}
 				over = true
@@ -382,7 +391,15 @@
 				}
 				done(status)
 			})
-		})
+		}
+		srv(method, path, body, answered)
+	}
+	if s.Late != nil {
+		if d, ok := s.Late(from, to, path); ok {
+			mute = true
+			s.after(d, arrive)
+			return
+		}
 	}
 	s.deliver(from, to, arrive)
 	if s.Copies != nil && path == "/v1/report" {
--- a/internal/worker/hearing_test.go
+++ b/internal/worker/hearing_test.go
@@ -48,12 +48,12 @@
 		}, "asked"},
 		{"next in turn, but without the launch", func(m *Machine) {
 			m.Place(Task{"wk-1", 0}, 1, false, 0)
-			m.Orders(false, 0)
+			m.Orders(false, true, 0)
 			comes(m, 2, base)
 		}, "asked"},
 		{"skips one, but shows a launch", func(m *Machine) {
 			m.Place(Task{"wk-1", 0}, 1, false, 0)
-			m.Orders(false, 0)
+			m.Orders(false, true, 0)
 			comes(m, 3, base, wire.TaskReport{Task: "wk-1/0", Try: 1, State: wire.Pulling})
 		}, "hears"},
 		{"its lease is over", func(m *Machine) { m.Expire(time.Hour) }, ""},
@@ -67,7 +67,7 @@
 			got = "hears"
 		case m.Deaf():
 			got = "deaf"
-		case m.Pressing(time.Hour):
+		case m.Pressing(true, time.Hour):
 			got = "asked"
 		}
 		if got != c.want {
@@ -97,7 +97,7 @@
 func TestRebornIsEmptyOnlyUnderANewToken(t *testing.T) {
 	m := known()
 	run := m.Place(Task{"wk-1", 0}, 1, false, 0)
-	m.Orders(true, 0) // on its way
+	m.Orders(true, true, 0) // on its way
 	m.Reborn(40 * time.Second)
 	if m.LeaseOver(50*time.Second, 14*time.Second, 0) {
 		t.Error("gone by the lease of its old life, whose orders the new one may carry out")
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -73,6 +73,9 @@
 // lapsed: its home has not said of late that it may go on.
 func (r *Run) lapsed(now time.Duration) bool { return r.Permit != nil && !r.Permit.Good(now) }
 
+// halting: it is to be told to stop.
+func (r *Run) halting() bool { return r.Halt && !r.Over() && r.MayBeThere() }
+
 // Over tells whether the run has ended there.
 func (r *Run) Over() bool { return r.State == wire.Ended }
 
@@ -285,17 +288,26 @@
 
 // Orders lists what the worker is to do now. They answer the newest report,
 // or are sent directly; either way the newest report is what a launch must
-// be outdated by.
-func (m *Machine) Orders(direct bool, now time.Duration) []wire.Command {
+// be outdated by. Without launch nothing is started: a halt must not wait for what
+// only a launch needs.
+func (m *Machine) Orders(direct, launch bool, now time.Duration) []wire.Command {
 	var halts, launches, reaps []wire.Command
-	for run := range m.All() {
+	for run := range m.All() { // first: nothing else may take their room
 		// Home reckons that an answer given after the permit's end, which
 		// renews the machine's lease, stops all that is there of the loan.
 		// (Direct orders renew nothing.)
 		if !direct && run.lapsed(now) && !run.Over() && run.MayBeThere() {
 			run.Halt, run.Grace = true, 0
-		} else if len(halts)+len(launches)+len(reaps) >= maxOrders {
-			continue
+		}
+		if run.halting() && (len(halts) < maxOrders || !direct && run.lapsed(now)) {
+			g := run.Grace
+			run.told = max(now, 1)
+			halts = append(halts, wire.Command{Verb: wire.Halt, Task: run.String(), Try: run.Try, Grace: &g})
+		}
+	}
+	for run := range m.All() {
+		if len(halts)+len(launches)+len(reaps) >= maxOrders {
+			break
 		}
 		switch {
 		case run.Over():
@@ -305,15 +317,9 @@
 				reaps = append(reaps, wire.Command{Verb: wire.Reap, Task: run.String(), Try: run.Try})
 				run.reapSent, run.reapS, run.reapSeq = true, m.Session, m.Seq
 			}
-		case run.Halt:
-			if run.MayBeThere() {
-				g := run.Grace
-				run.told = max(now, 1)
-				halts = append(halts, wire.Command{Verb: wire.Halt, Task: run.String(), Try: run.Try, Grace: &g})
-			}
 		// Direct orders may be executed minutes later, so nothing borrowed is
 		// started by them: an answer is taken within seconds or dropped.
-		case run.State == "" && !run.sent && !run.Hold && m.Resolved && m.Hears() && (run.Permit == nil || !direct && !run.lapsed(now)):
+		case launch && !run.Halt && run.State == "" && !run.sent && !run.Hold && m.Resolved && m.Hears() && (run.Permit == nil || !direct && !run.lapsed(now)):
 			launches = append(launches, wire.Command{Verb: wire.Launch, Task: run.String(), Try: run.Try})
 			run.sent, run.direct, run.session, run.seq = true, direct, m.Session, m.Seq
 			if direct { // its session may carry it out, and lasts for a lease at most
@@ -324,12 +330,24 @@
 	return append(append(halts, reaps...), launches...)
 }
 
+// Crowded tells whether more is to be halted than one answer holds. It would renew
+// the lease of tasks whose halt it leaves out; direct orders renew nothing.
+func (m *Machine) Crowded(now time.Duration) bool {
+	n := 0
+	for _, run := range m.Runs {
+		if run.halting() && !run.lapsed(now) { // those all go into an answer
+			n++
+		}
+	}
+	return n > maxOrders
+}
+
 // repeat spaces direct halts of a task that does not go.
 const repeat = time.Second
 
 // Pressing tells whether there is something to say that should not wait for
-// the next report.
-func (m *Machine) Pressing(now time.Duration) bool {
+// the next report; launch: starting something is.
+func (m *Machine) Pressing(launch bool, now time.Duration) bool {
 	if m.ordered || m.Address == "" || now < m.pause {
 		return false
 	}
@@ -340,8 +358,8 @@
 		if run.Over() {
 			continue
 		}
-		if run.Halt && run.MayBeThere() && (run.told == 0 || run.State != wire.Flushing && now-run.told > repeat) ||
-			m.Hears() && !run.Halt && run.State == "" && !run.Hold && !run.sent && run.Permit == nil {
+		if run.halting() && (run.told == 0 || run.State != wire.Flushing && now-run.told > repeat) ||
+			launch && m.Hears() && !run.Halt && run.State == "" && !run.Hold && !run.sent && run.Permit == nil {
 			return true
 		}
 	}
--- a/internal/worker/worker_test.go
+++ b/internal/worker/worker_test.go
@@ -48,26 +48,26 @@
 			return nil
 		}, true},
 		{"launched in an answer, then an answer to orders made before", func(m *Machine, run *Run) []Event {
-			m.Orders(false, 0)
+			m.Orders(false, true, 0)
 			m.Stop(run, 0)
 			ev, _ := m.Report(report(2, base), time.Second, false)
 			return ev
 		}, false},
 		{"launched in an answer, then the next posted report", func(m *Machine, run *Run) []Event {
-			m.Orders(false, 0)
+			m.Orders(false, true, 0)
 			m.Stop(run, 0)
 			ev, _ := m.Report(report(2, base), time.Second, true)
 			return ev
 		}, true},
 		{"orders still on their way", func(m *Machine, run *Run) []Event {
-			m.Orders(true, 0)
+			m.Orders(true, true, 0)
 			m.OrdersSent()
 			m.Stop(run, 0)
 			ev, _ := m.Report(report(2, base), time.Second, true)
 			return ev
 		}, false},
 		{"orders lost, worker has not seen a higher token", func(m *Machine, run *Run) []Event {
-			m.Orders(true, 0)
+			m.Orders(true, true, 0)
 			m.OrdersSent()
 			m.OrdersLost(base)
 			m.Stop(run, 0)
@@ -75,7 +75,7 @@
 			return ev
 		}, false},
 		{"orders lost, worker has seen the higher token", func(m *Machine, run *Run) []Event {
-			m.Orders(true, 0)
+			m.Orders(true, true, 0)
 			m.OrdersSent()
 			m.OrdersLost(base)
 			m.Stop(run, 0)
@@ -83,7 +83,7 @@
 			return ev
 		}, true},
 		{"an older report", func(m *Machine, run *Run) []Event {
-			m.Orders(false, 0)
+			m.Orders(false, true, 0)
 			m.Stop(run, 0)
 			ev, ok := m.Report(report(1, base), time.Second, true)
 			if ok {
@@ -92,7 +92,7 @@
 			return ev
 		}, false},
 		{"the lease is over", func(m *Machine, run *Run) []Event {
-			m.Orders(false, 0)
+			m.Orders(false, true, 0)
 			m.Answered(2 * time.Second)
 			if !m.LeaseOver(17*time.Second, 14*time.Second, 0.0005) {
 				return nil
@@ -130,7 +130,7 @@
 	if m.Resolved {
 		t.Error("resolved by a report under the earlier owner's token")
 	}
-	if o := m.Orders(false, 0); len(o) != 0 {
+	if o := m.Orders(false, true, 0); len(o) != 0 {
 		t.Errorf("orders %v before the machine is known", o)
 	}
 	m.Report(report(6, base), time.Second, true)
@@ -144,16 +144,16 @@
 func TestNoReapInDoubt(t *testing.T) {
 	m := known()
 	run := m.Place(Task{"wk-1", 0}, 7, false, 0)
-	m.Orders(true, 0)
+	m.Orders(true, true, 0)
 	m.OrdersSent()
 	m.OrdersLost(base)
 	m.Report(report(2, base, wire.TaskReport{Task: "wk-1/0", Try: 7, State: wire.Ended, Cause: wire.Done}), time.Second, true)
 	run.Reap = true
-	if o := m.Orders(false, 0); len(o) != 0 {
+	if o := m.Orders(false, true, 0); len(o) != 0 {
 		t.Errorf("%v while lost orders may still be executed", o)
 	}
 	m.Report(report(3, m.Token, wire.TaskReport{Task: "wk-1/0", Try: 7, State: wire.Ended, Cause: wire.Done}), time.Second, true)
-	if o := m.Orders(false, 0); len(o) != 1 || o[0].Verb != wire.Reap {
+	if o := m.Orders(false, true, 0); len(o) != 1 || o[0].Verb != wire.Reap {
 		t.Errorf("orders %v, want a reap", o)
 	}
 }
@@ -172,7 +172,7 @@
 	theirs.Permit = permit
 	said := func(direct bool, now time.Duration) string {
 		s := ""
-		for _, o := range m.Orders(direct, now) {
+		for _, o := range m.Orders(direct, true, now) {
 			s += o.Verb + " " + o.Task + "; "
 		}
 		return s
@@ -181,7 +181,7 @@
 		t.Errorf("without a permit: %q", got)
 	}
 	permit.Renew(2*time.Second, 10*time.Second)
-	if m.Pressing(3 * time.Second) {
+	if m.Pressing(true, 3*time.Second) {
 		t.Error("a borrowed start presses for direct orders")
 	}
 	if got := said(true, 3*time.Second); got != "" {
@@ -204,3 +204,50 @@
 		t.Error("our own task was stopped")
 	}
 }
+
+// Each answer that could renew the lease holds all halts: ends that are to be reaped
+// and starts take no room from them, an old cache holds only the starts back, and if
+// they are more than an answer holds the report must not be answered.
+func TestHaltsBeforeAll(t *testing.T) {
+	m := New("i-1", 100, 0)
+	m.Report(&wire.Report{Machine: "i-1", Address: "w", Session: 1, Seq: 1, Token: 100}, time.Second, true)
+	place := func(job string, n int, state string) (runs []*Run) {
+		for i := range n {
+			r := m.Place(Task{job, i}, 1, false, time.Second)
+			r.State = state
+			runs = append(runs, r)
+		}
+		return runs
+	}
+	for _, r := range place("wk-1", maxOrders, wire.Ended) {
+		r.Reap = true
+	}
+	place("wk-2", 3, "")
+	for _, r := range place("wk-3", 10, wire.Running) {
+		m.Stop(r, 0)
+	}
+	count := func(launch bool) (halts, launches, all int) {
+		for _, o := range m.Orders(false, launch, 2*time.Second) {
+			all++
+			switch o.Verb {
+			case wire.Halt:
+				halts++
+			case wire.Launch:
+				launches++
+			}
+		}
+		return
+	}
+	if h, l, all := count(false); h != 10 || l != 0 || all != maxOrders {
+		t.Errorf("%d halts, %d launches of %d orders, want 10, none and %d", h, l, all, maxOrders)
+	}
+	if m.Crowded(2 * time.Second) {
+		t.Error("ten halts are said not to fit")
+	}
+	for _, r := range place("wk-4", maxOrders, wire.Running) {
+		m.Stop(r, 0)
+	}
+	if !m.Crowded(2 * time.Second) {
+		t.Errorf("%d halts are said to fit into an answer", maxOrders+10)
+	}
+}
