--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -50,6 +50,7 @@
 	owners   map[string]Owner
 	held     map[string]held
 	claiming map[string]bool
+	until    map[string]float64 // the latest Owner.Until seen of a key: it outlives the key
 	// Taken and Lost are told what this controller gains and loses; until: see
 	// Owner.
 	Taken func(key string, token uint64, until float64)
@@ -65,7 +66,7 @@
 
 // New makes an empty book.
 func New(self string, l *ledger.Ledger) *Book {
-	return &Book{self: self, l: l, owners: map[string]Owner{}, held: map[string]held{}, claiming: map[string]bool{}}
+	return &Book{self: self, l: l, owners: map[string]Owner{}, held: map[string]held{}, claiming: map[string]bool{}, until: map[string]float64{}}
 }
 
 // Change takes a change of a key below a/o/.
@@ -82,6 +83,7 @@
 			return
 		}
 		b.owners[key] = o
+		b.until[key] = max(b.until[key], o.Until)
 	}
 	if h, ok := b.held[key]; ok {
 		if e, there := b.l.Get(key); !there || e.Stamp > h.stamp {
@@ -169,7 +171,7 @@
 			c.W = nonce
 			c.N++
 			token = c.N * TokenStep
-			until = b.owners[key].Until
+			until = b.until[key] // the taker's grant may have ended before the one it took it from stops
 			if was != "" && was != b.self {
 				until = b.Until()
 			}
--- a/internal/ledger/grant.go
+++ b/internal/ledger/grant.go
@@ -59,7 +59,7 @@
 		out := &wire.Grant{}
 		g.l.w.Call(g.l.addr, "POST", "/grants", &wire.GrantRequest{LifeMs: uint64(g.life.Milliseconds())}, out, limit,
 			func(status int) {
-				if status == 200 || status == 201 {
+				if (status == 200 || status == 201) && out.Lease != 0 {
 					g.ID = out.Lease
 					g.sent = sent
 					slog.Info("state: grant", "permit", g.ID)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -131,7 +131,7 @@
 		path += "&since=" + url.QueryEscape(since)
 	}
 	l.w.Call(l.addr, "GET", path, nil, out, timeout, func(status int) {
-		if status != 200 {
+		if status != 200 || out.Ledger == 0 && len(out.Entries) > 0 {
 			l.w.After(l.retry(), func() { l.load(since, first) })
 			return
 		}
@@ -153,9 +153,10 @@
 }
 
 func (l *Ledger) replay() {
-	sent := l.w.Now()
+	sent, since := l.w.Now(), l.rev
 	out := &wire.Changes{}
 	l.w.Call(l.addr, "GET", l.changesPath(0), nil, out, timeout, func(status int) {
+		status = sound(status, out, since)
 		if status == 410 {
 			l.load("", true)
 			return
@@ -178,6 +179,25 @@
 	return fmt.Sprintf("/changes?under=%s&since=%d&holdMs=%d", Root, l.rev, hold.Milliseconds())
 }
 
+// sound is the status of an answer to a question for the changes since a revision; 0,
+// as of no answer, if it cannot be one: without a revision or with one that goes back
+// it proves nothing of the cache's age, and an event that names no key of ours, or is
+// of no revision in between, would put into the cache what is nowhere.
+func sound(status int, c *wire.Changes, since uint64) int {
+	if status != 200 {
+		return status
+	}
+	ok := c.Ledger >= since
+	for _, e := range c.Log {
+		ok = ok && (e.Put == "") != (e.Delete == "") && strings.HasPrefix(e.Put+e.Delete, Root) && e.Stamp > since && e.Stamp <= c.Ledger
+	}
+	if !ok {
+		slog.Error("state: changes make no sense", "since", since, "ledger", c.Ledger, "events", len(c.Log))
+		return 0
+	}
+	return 200
+}
+
 // absorb applies what is newer than the cache.
 func (l *Ledger) absorb(c *wire.Changes) {
 	if c.Ledger <= l.rev {
@@ -232,7 +252,7 @@
 		return
 	}
 	l.watching = true
-	sent := l.w.Now()
+	sent, since := l.w.Now(), l.rev
 	hold := 10 * time.Second
 	out := &wire.Changes{}
 	l.w.Call(l.addr, "GET", l.changesPath(hold), nil, out, hold+timeout, func(status int) {
@@ -240,12 +260,10 @@
 		if !l.loaded {
 			return
 		}
-		switch status {
+		switch sound(status, out, since) {
 		case 200:
 			l.absorb(out)
-			if sent > l.seenOK {
-				l.seenOK = sent
-			}
+			l.seenOK = max(l.seenOK, sent)
 			l.w.After(l.gap(), l.watch)
 		case 410:
 			l.reload()
@@ -280,10 +298,11 @@
 	}
 	l.syncing = true
 	l.lastSync = l.w.Now()
-	sent := l.lastSync
+	sent, since := l.lastSync, l.rev
 	askers := l.takeAskers()
 	out := &wire.Changes{}
 	l.w.Call(l.addr, "GET", l.changesPath(0), nil, out, timeout*3/4, func(status int) {
+		status = sound(status, out, since)
 		l.note(status)
 		l.syncing = false
 		switch {
@@ -291,9 +310,7 @@
 			l.failAskers(askers)
 		case status == 200:
 			l.absorb(out)
-			if sent > l.seenOK {
-				l.seenOK = sent
-			}
+			l.seenOK = max(l.seenOK, sent)
 			for _, f := range askers {
 				f(true)
 			}
@@ -329,6 +346,10 @@
 // Loaded tells whether the cache can be read at all.
 func (l *Ledger) Loaded() bool { return l.loaded }
 
+// Passed tells whether all changes up to a stamp are in the cache. (The answer to a
+// write of ours comes before those of others that were made before it.)
+func (l *Ledger) Passed(stamp uint64) bool { return l.rev >= stamp }
+
 // Age is how old the cache may be.
 func (l *Ledger) Age() time.Duration { return l.w.Now() - l.seenOK }
 
@@ -515,6 +536,9 @@
 	out, sent, answered := &wire.TxnResult{}, l.w.Now(), false
 	l.w.Call(l.addr, "POST", "/multi", b.txn, out, timeout, func(status int) {
 		answered = true
+		if status == 200 && out.Ledger == 0 {
+			status = 0 // of no revision: whether it was applied is to be found out
+		}
 		l.note(status)
 		if status == 200 {
 			l.answers.add(l.w.Now() - sent)
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -13,14 +13,15 @@
 
 // service answers transactions as told and notes them.
 type service struct {
-	later []func()
-	sent  []wire.Txn
-	reply func(t *wire.Txn) (int, wire.TxnResult)
-	clock time.Duration
-	slow  bool // answers to transactions wait in held
-	held  []func()
-	looks int // keys read
-	read  func(key string) (int, wire.Entry)
+	later   []func()
+	sent    []wire.Txn
+	reply   func(t *wire.Txn) (int, wire.TxnResult)
+	clock   time.Duration
+	slow    bool // answers to transactions wait in held
+	held    []func()
+	looks   int // keys read
+	read    func(key string) (int, wire.Entry)
+	changes func() wire.Changes
 }
 
 func (w *service) Now() time.Duration              { return time.Minute + w.clock }
@@ -35,6 +36,10 @@
 		*out.(*wire.Entry) = e
 		done(status)
 	}
+	if c, ok := out.(*wire.Changes); ok && w.changes != nil {
+		*c = w.changes()
+		done(200)
+	}
 	t, ok := in.(*wire.Txn)
 	if !ok || path != "/multi" {
 		return
@@ -167,3 +172,64 @@
 		}
 	}
 }
+
+// Answers of the state service that cannot be one: none proves that the cache is
+// current, or changes it, or ends the process; a transaction that is said to be
+// applied under no revision is looked for.
+func TestBadAnswers(t *testing.T) {
+	good := []wire.Change{{Put: "a/j/x", Value: wire.Encode(1), Stamp: 12}}
+	for _, c := range []struct {
+		name string
+		c    wire.Changes
+		ok   bool
+	}{
+		{"good", wire.Changes{Ledger: 12, Log: good}, true},
+		{"nothing new", wire.Changes{Ledger: 10}, true},
+		{"no revision", wire.Changes{}, false},
+		{"no revision, with events", wire.Changes{Log: good}, false},
+		{"a revision that goes back", wire.Changes{Ledger: 9}, false},
+		{"an event from before", wire.Changes{Ledger: 12, Log: []wire.Change{{Delete: "a/j/x", Stamp: 10}}}, false},
+		{"an event later than the revision", wire.Changes{Ledger: 11, Log: good}, false},
+		{"an event of no key", wire.Changes{Ledger: 12, Log: []wire.Change{{Stamp: 12}}}, false},
+		{"an event of two keys", wire.Changes{Ledger: 12, Log: []wire.Change{{Put: "a/j/x", Delete: "a/j/y", Stamp: 12}}}, false},
+		{"an event of a key that is not ours", wire.Changes{Ledger: 12, Log: []wire.Change{{Delete: "b/j/x", Stamp: 12}}}, false},
+	} {
+		if got := sound(200, &c.c, 10) == 200; got != c.ok {
+			t.Errorf("%s: taken %v, want %v", c.name, got, c.ok)
+		}
+	}
+
+	w, l := open(nil)
+	l.loaded, l.rev, l.seenOK = true, 10, w.Now()
+	before := l.seenOK
+	w.changes = func() wire.Changes { return wire.Changes{} }
+	w.clock += time.Second
+	proven := []bool{}
+	l.Prove(func(ok bool) { proven = append(proven, ok) })
+	w.settle()
+	if len(proven) != 1 || proven[0] || l.seenOK != before || l.rev != 10 {
+		t.Errorf("an answer without revision: proven %v, cache as of %v at %d", proven, l.seenOK-before, l.rev)
+	}
+
+	// Said to be applied, under no revision; the key shows that it is.
+	tries, told, nonce := 0, []bool(nil), ""
+	w, l = open(nil)
+	w.reply = func(*wire.Txn) (int, wire.TxnResult) {
+		tries++
+		return map[bool]int{true: 200, false: 409}[tries == 1], wire.TxnResult{}
+	}
+	w.read = func(string) (int, wire.Entry) {
+		return 200, wire.Entry{Value: wire.Encode(map[string]string{"w": nonce}), Stamp: 7}
+	}
+	l.Write(Urgent, &Write{
+		Build: func(n string) ([]wire.Cond, []wire.Op) {
+			nonce = n
+			return []wire.Cond{{Key: "d/1"}}, []wire.Op{{Put: "d/1", Value: wire.Encode(map[string]string{"w": n})}}
+		},
+		Done: func(ok bool, stamp uint64) { told = append(told, ok && stamp == 7) },
+	})
+	w.settle()
+	if !slices.Equal(told, []bool{true}) || tries != 2 {
+		t.Errorf("applied under no revision: told %v after %d sends, want once, after 2", told, tries)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,6 +143,7 @@
 func (n *Node) changed(key string, value []byte) {
 	switch {
 	case key == "":
+		n.eachPart(func(p *part.Part) { p.CaughtUp() })
 	case strings.HasPrefix(key, "a/o/"):
 		n.book.Change(key, value)
 	case strings.HasPrefix(key, "a/h/"):
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -106,18 +106,21 @@
 	limit := min(2*time.Second, world.Seconds(n.s.Deployment.Workers.Report))
 	n.w.Call(m.Address, "POST", "/orders", body, out, limit, func(status int) {
 		n.pushing--
-		if status != 200 && status != 409 {
+		// What is not this machine's report does not say what became of the orders.
+		if status != 200 && status != 409 || out.Machine != m.ID || out.Check() != "" {
 			m.OrdersLost(body.Token)
 			// A machine that does not answer must not hold sockets that others need.
 			m.Pause(n.w.Now() + limit<<min(m.Misses(), 4)/2 + time.Duration(n.w.Rand().Int64N(int64(limit)/2)))
 			return
 		}
 		m.OrdersAnswered()
-		if n.owns(p.K) != p || p.Machines[m.ID] != m || out.Machine != m.ID {
+		if n.owns(p.K) != p || p.Machines[m.ID] != m {
 			return
 		}
 		if out.Token > m.Token {
-			n.book.Claim(lead.PartKey(p.K), false)
+			if n.book.Given(out.Token) {
+				n.book.Claim(lead.PartKey(p.K), false)
+			}
 			m.Pause(n.w.Now() + limit)
 			return
 		}
@@ -164,7 +167,7 @@
 	out := &wire.Report{}
 	n.w.Call(addr, "GET", "/status", nil, out, min(2*time.Second, n.reports()), func(status int) {
 		n.pushing--
-		if status != 200 || out.Machine != id {
+		if status != 200 || out.Machine != id || out.Check() != "" {
 			out = nil
 		}
 		done(out)
--- a/internal/part/job.go
+++ b/internal/part/job.go
@@ -180,6 +180,7 @@
 	failedOn map[string]int           // machines on which a task of it failed
 	against  map[int]float64          // what other parts' owners hold against it
 	fresh    bool                     // accepted, or moved here, after this owner took the part
+	unseen   bool                     // Anywhere, and changes before its record are not all known yet
 	mistaken bool                     // likely: one task at a time is tried
 	probes   int                      // of them, that failed since
 	avoid    map[string]time.Duration // machines not to be used before
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -158,7 +158,7 @@
 		}
 		w = newWork(rec, stamp, p.h.Now())
 		w.fresh = stamp > p.guard().Stamp
-		w.stored.all = rec.Anywhere
+		w.unseen = w.anywhere()
 		p.Works[id], p.queued = w, nil
 		if w.borrowed() {
 			p.borrowed++
@@ -174,6 +174,25 @@
 	w.Rec, w.Stamp = rec, stamp
 	w.absorb(&Progress{Done: rec.Done}, p.K)
 	w.recount(p.K)
+	p.catchUp(w)
+}
+
+// catchUp lets a single task start that may be anywhere, once all is known that was
+// stored before its record. The answer to our own write of it comes earlier, and the
+// part may have been taken from us before: the taker holds such a record, newer than
+// its key, for one that no owner before can launch.
+func (p *Part) catchUp(w *Work) {
+	if w.unseen && p.h.Ledger().Passed(w.Stamp) {
+		w.unseen, w.stored.all = false, true
+		p.unhold(w)
+	}
+}
+
+// CaughtUp: the cache has passed another revision.
+func (p *Part) CaughtUp() {
+	for _, w := range p.works() {
+		p.catchUp(w)
+	}
 }
 
 // OnProgress takes the recorded progress of a job in part k.
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -151,7 +151,7 @@
 		w.set(i, placed)
 		w.held = w.held || hold
 	}
-	if w.held {
+	if w.held && !w.unseen {
 		p.store(w, ledger.Soon)
 	}
 	for _, r := range plan {
--- a/internal/part/records.go
+++ b/internal/part/records.go
@@ -54,7 +54,7 @@
 }
 
 func (p *Part) writeProgress(w *Work, now, every time.Duration) {
-	if w.held {
+	if w.held && !w.unseen {
 		p.store(w, ledger.Soon)
 	}
 	if !w.dirty || w.ending || w.anywhere() && !w.mistaken {
--- a/internal/standin/addition_test.go
+++ b/internal/standin/addition_test.go
@@ -245,6 +245,60 @@
 	}
 }
 
+// Machines answer orders and questions with what is no report, is of another machine,
+// shows a token that nobody gave, or is of a session before. None ends a process or is
+// taken for what became of the orders: no rule breaks, no token is drawn for it, and
+// all is done once they answer well.
+func TestBadOrderAnswers(t *testing.T) {
+	for i, c := range []struct {
+		name string
+		body func(w *Worker, r *wire.Report) any
+	}{
+		{"nothing", func(*Worker, *wire.Report) any { return map[string]any{} }},
+		{"words for numbers", func(w *Worker, _ *wire.Report) any { return map[string]any{"kiln": w.id, "shift": 0} }},
+		{"another machine", func(_ *Worker, r *wire.Report) any { r.Machine = "i-999"; return r }},
+		{"a token that nobody gave", func(_ *Worker, r *wire.Report) any { r.Token = 1 << 62; return r }},
+		{"a session before", func(_ *Worker, r *wire.Report) any { r.Session, r.Seq = 1, 1; return r }},
+	} {
+		s := New(uint64(240 + i))
+		s.API()
+		w := fleet(s, 6, 0)
+		s.Submit(5, Spec("wk-1", wire.Array, 12, 1, 20, nil))
+		s.Submit(9, Spec("wk-2", wire.Gang, 2, 2, 8, nil))
+		s.Submit(9.5, Spec("wk-3", wire.Array, 8, 1, 60, nil))
+		s.Abort(11, "wk-3")
+		counter := uint64(0)
+		s.At(8, func() {
+			counter = s.State.data["a/c/token"].Stamp
+			for _, x := range w[:3] {
+				s.serve[x.addr] = func(method, path string, body []byte, reply func(int, any)) {
+					x.serve(method, path, body, func(status int, answer any) {
+						if r, ok := answer.(*wire.Report); ok && status == 200 {
+							answer = c.body(x, r)
+						}
+						reply(status, answer)
+					})
+				}
+			}
+		})
+		s.At(30, func() {
+			if now := s.State.data["a/c/token"].Stamp; now != counter {
+				t.Errorf("%s: a token was drawn", c.name)
+			}
+			for _, x := range w[:3] {
+				s.serve[x.addr] = x.serve
+			}
+		})
+		s.Start()
+		s.Run(150)
+		for _, b := range s.Broken {
+			t.Errorf("%s: rule broken: %s", c.name, b)
+		}
+		told(t, s, wire.Done, "wk-1", "wk-2")
+		told(t, s, wire.Withdrawn, "wk-3")
+	}
+}
+
 // The judge of the addition refuses a history that breaks exactly one of its rules.
 func TestJudge(t *testing.T) {
 	const calm, end = 100 * time.Second, 600 * time.Second
