A reap outdates the launch that it removes; chunks leave parts without machines

Change: the message that brings a reap has a higher token than the orders that launched the task, so that machines refuse copies of those; nothing waits for it. A chunk in a part without a machine for it moves to any room.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -14,9 +14,9 @@
 	"curlewspool/internal/wire"
 )
 
-// TokenStep leaves room below the next token, for a machine whose orders got
-// lost to be given a higher one (see worker.OrdersLost).
-const TokenStep = 1 << 16
+// TokenStep leaves room below the next token, for a machine to be given a higher one
+// when orders got lost or what they started is reaped (see worker.OrdersLost, Orders).
+const TokenStep = 1 << 20
 
 // Leader is the key of leadership; part k has PartKey(k).
 const Leader = "a/o/lead"
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -83,7 +83,8 @@
 	}
 	p.Settle(m)
 	m.Answered(n.w.Now())
-	reply(200, &wire.Commands{Token: m.Token, Orders: notNil(m.Orders(false, n.MayLaunch(), n.w.Now()))})
+	orders := notNil(m.Orders(false, n.MayLaunch(), n.w.Now()))
+	reply(200, &wire.Commands{Token: m.Token, Orders: orders})
 }
 
 func notNil(c []wire.Command) []wire.Command {
@@ -101,7 +102,8 @@
 	}
 	n.pushing++
 	m.OrdersSent()
-	body := &wire.Commands{Token: m.Token, Session: max(m.Session, 1), Orders: notNil(m.Orders(true, n.MayLaunch(), n.w.Now()))}
+	orders := notNil(m.Orders(true, n.MayLaunch(), n.w.Now()))
+	body := &wire.Commands{Token: m.Token, Session: max(m.Session, 1), Orders: orders}
 	out, session, seq := &wire.Report{}, m.Session, m.Seq
 	limit := min(2*time.Second, world.Seconds(n.s.Deployment.Workers.Report))
 	n.w.Call(m.Address, "POST", "/orders", body, out, limit, func(status int) {
--- a/internal/part/moves.go
+++ b/internal/part/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"sort"
 	"time"
 
@@ -201,7 +202,11 @@
 	}
 	fit := Holds(j, zone)
 	want := n
-	if !w.gang() {
+	switch {
+	case w.gang():
+	case p.barren(j):
+		want = 1
+	default:
 		want = (n + 1) / 2
 	}
 	if fit < want {
@@ -218,6 +223,14 @@
 	return true
 }
 
+// barren: no machine of the part can take a task of the job, now or later. It then goes
+// to wherever one can begin. (All machines of a part were deaf and returned, the cloud
+// had no others, and no other part had room for half of what waited there: it waited
+// for ever beside idle machines.)
+func (p *Part) barren(j *wire.Job) bool {
+	return !slices.ContainsFunc(p.machines(), func(m *Machine) bool { return m.retiring == "" && p.allowed(m, j) })
+}
+
 func (p *Part) move(w *Work, c, to int) {
 	id := w.Rec.Job.ID
 	w.moving = true
--- a/internal/standin/meeting_test.go
+++ b/internal/standin/meeting_test.go
@@ -149,6 +149,20 @@
 	})
 }
 
+// repeated has a share of the orders to machines arrive again, least to most seconds
+// after they were carried out.
+func (s *Sim) repeated(from, to, share, least, most float64) {
+	s.At(from, func() {
+		s.Twice = func(to string) time.Duration {
+			if !strings.Contains(to, "w-i-") || s.rnd.Float64() >= share {
+				return 0
+			}
+			return time.Duration((least + (most-least)*s.rnd.Float64()) * float64(time.Second))
+		}
+	})
+	s.At(to, func() { s.Twice = nil })
+}
+
 func theLeader(s *Sim) []string  { return []string{s.leader().name} }
 func theLargest(s *Sim) []string { return []string{s.largest().name} }
 func both(s *Sim) []string       { return []string{s.leader().name, s.largest().name} }
@@ -331,6 +345,11 @@
 				h.Crash()
 				s.after(30*time.Second, h.Start)
 			})
+			s.At(10, func() {
+				for _, n := range s.all { // only the end of its lease proves what is gone
+					s.cut(n, "cloud")
+				}
+			})
 			s.cutFor(11.5, 45, s.links(w[0]))
 			s.deafFor(11.5, 45, w[3])
 			return nil
@@ -427,6 +446,21 @@
 			s.Abort(18.5, "wk-5")
 			return []string{"wk-4"}
 		}, nil},
+		// All orders arrive again, up to 12 s after they were carried out, while work of a
+		// lower rank is stopped for two gangs and begins elsewhere. Found by this day: a
+		// copy of a launch started a task again that had been stopped and reaped.
+		{"orders-repeated", func(s *Sim, w []*Worker) []string {
+			s.repeated(4, 40, 1, 0.2, 12)
+			low := func(x *wire.Submission) {
+				m, v := 4.0, 1.0
+				x.Mark, x.Stow, x.Rank = &m, &v, text("best_effort")
+			}
+			high := func(x *wire.Submission) { x.Rank = text("high") }
+			s.Submit(8, Spec("wk-4", wire.Array, 8, 1, 20, low))
+			s.Submit(14, Spec("wk-5", wire.Gang, 2, 4, 6, high))
+			s.Submit(20, Spec("wk-6", wire.Gang, 3, 4, 6, high))
+			return []string{"wk-4", "wk-5", "wk-6"}
+		}, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			ids := []string{"wk-1", "wk-2"}
--- a/internal/standin/random_test.go
+++ b/internal/standin/random_test.go
@@ -171,6 +171,9 @@
 	{"answers to reports are lost", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
 		s.late(at, at+length, 0.1+0.4*r.Float64(), 0.001, 6, "/v1/report")
 	}},
+	{"orders are repeated", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		s.repeated(at, at+2*length, 0.5, 0.2, 15)
+	}},
 	{"writes are late", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
 		s.late(at, at+length, 0.1+0.5*r.Float64(), 2, 12, "/multi")
 	}},
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -62,6 +62,7 @@
 	told           time.Duration // when it was last told to halt; 0: never
 	sent           bool
 	direct         bool   // the launch went to /orders, not into an answer
+	token          uint64 // under this token
 	session, seq   uint64 // newest report when the launch was sent
 	reapSent       bool
 	reapS, reapSeq uint64
@@ -288,10 +289,11 @@
 
 // Orders lists what the worker is to do now. They answer the newest report,
 // or are sent directly; either way the newest report is what a launch must
-// be outdated by. Without launch nothing is started: a halt must not wait for what
+// be outdated by. They go out under m.Token as it is after the call. Without launch nothing is started: a halt must not wait for what
 // only a launch needs.
 func (m *Machine) Orders(direct, launch bool, now time.Duration) []wire.Command {
 	var halts, launches, reaps []wire.Command
+	var begun []*Run
 	for run := range m.All() { // first: nothing else may take their room
 		// Home reckons that an answer given after the permit's end, which
 		// renews the machine's lease, stops all that is there of the loan.
@@ -314,6 +316,13 @@
 			// A delayed copy of the launch, executed after the reap, would
 			// start the task again.
 			if run.Reap && m.doubt == 0 && !m.ordered {
+				// So would a copy of orders that were carried out: the message that
+				// brings the reap brings a higher token than they had. (Two copies of
+				// a launch, one of them after the task had been stopped, reaped and
+				// begun elsewhere: it ran twice.)
+				if run.direct && m.Token <= run.token {
+					m.Token = run.token + 1
+				}
 				reaps = append(reaps, wire.Command{Verb: wire.Reap, Task: run.String(), Try: run.Try})
 				run.reapSent, run.reapS, run.reapSeq = true, m.Session, m.Seq
 			}
@@ -322,11 +331,15 @@
 		case launch && !run.Halt && run.State == "" && !run.sent && !run.Hold && m.Resolved && m.Hears() && (run.Permit == nil || !direct && !run.lapsed(now)):
 			launches = append(launches, wire.Command{Verb: wire.Launch, Task: run.String(), Try: run.Try})
 			run.sent, run.direct, run.session, run.seq = true, direct, m.Session, m.Seq
+			begun = append(begun, run)
 			if direct { // its session may carry it out, and lasts for a lease at most
 				m.LastAnswer = max(m.LastAnswer, now)
 			}
 		}
 	}
+	for _, run := range begun {
+		run.token = m.Token
+	}
 	return append(append(halts, reaps...), launches...)
 }
 
--- a/internal/worker/worker_test.go
+++ b/internal/worker/worker_test.go
@@ -251,3 +251,36 @@
 		t.Errorf("%d halts are said to fit into an answer", maxOrders+10)
 	}
 }
+
+// A copy of orders that were carried out may come at any later time. After a reap it
+// would start the task again, so the message that brings the reap has a higher token
+// than the orders that launched it.
+func TestReapOutdatesTheLaunch(t *testing.T) {
+	for _, direct := range []bool{true, false} {
+		m := New("i-1", 100, 0)
+		report := func(seq uint64, state string) {
+			r := &wire.Report{Machine: "i-1", Address: "w", Session: 1, Seq: seq, Token: m.Token}
+			if state != "" {
+				r.Tasks = []wire.TaskReport{{Task: "wk-1/0", Try: 1, State: state, Cause: wire.Halted}}
+			}
+			m.Report(r, time.Second, true)
+		}
+		report(1, "")
+		run := m.Place(Task{"wk-1", 0}, 1, false, time.Second)
+		if o := m.Orders(direct, true, time.Second); len(o) != 1 || o[0].Verb != wire.Launch {
+			t.Fatalf("direct %v: %v, want a launch", direct, o)
+		}
+		launched := m.Token
+		report(2, wire.Running)
+		report(3, wire.Ended)
+		run.Reap = true
+		o := m.Orders(false, true, time.Second)
+		if len(o) != 1 || o[0].Verb != wire.Reap {
+			t.Fatalf("direct %v: %v, want a reap", direct, o)
+		}
+		// What comes in an answer is taken within seconds or dropped: no copy follows.
+		if raised := m.Token > launched; raised != direct {
+			t.Errorf("direct %v: launched under %d, reaped under %d", direct, launched, m.Token)
+		}
+	}
+}
