--- a/internal/standin/meeting_test.go
+++ b/internal/standin/meeting_test.go
@@ -465,7 +465,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			ids := []string{"wk-1", "wk-2"}
 			var w []*Worker
-			s := day(t, "meeting-"+c.name, uint64(750+i), 260, func(s *Sim) {
+			s := day(t, "meeting-"+c.name, uint64(756+i), 260, func(s *Sim) {
 				s.history.Calm = 70 * time.Second
 				w = workday(s)
 				ids = append(ids, c.script(s, w)...)
