--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -84,6 +84,7 @@
 	order    []*Machine // by name; nil: to be listed anew
 	queued   []*Work    // all works by name; nil: to be listed anew
 	borrowed int        // works that are borrowed
+	unseen   int        // works that are
 	since    time.Duration
 
 	blame    *blame.Book
@@ -124,7 +125,7 @@
 func (p *Part) Close() {
 	p.closed = true
 	p.Works, p.Machines = map[string]*Work{}, map[string]*Machine{}
-	p.order, p.queued, p.head, p.borrowed = nil, nil, nil, 0
+	p.order, p.queued, p.head, p.borrowed, p.unseen = nil, nil, nil, 0, 0
 }
 
 // Renew gives the part a higher token, after a worker showed one.
@@ -158,7 +159,9 @@
 		}
 		w = newWork(rec, stamp, p.h.Now())
 		w.fresh = stamp > p.guard().Stamp
-		w.unseen = w.anywhere()
+		if w.unseen = w.anywhere(); w.unseen {
+			p.unseen++
+		}
 		p.Works[id], p.queued = w, nil
 		if w.borrowed() {
 			p.borrowed++
@@ -184,12 +187,16 @@
 func (p *Part) catchUp(w *Work) {
 	if w.unseen && p.h.Ledger().Passed(w.Stamp) {
 		w.unseen, w.stored.all = false, true
+		p.unseen--
 		p.unhold(w)
 	}
 }
 
 // CaughtUp: the cache has passed another revision.
 func (p *Part) CaughtUp() {
+	if p.unseen == 0 {
+		return
+	}
 	for _, w := range p.works() {
 		p.catchUp(w)
 	}
@@ -262,8 +269,13 @@
 }
 
 func (p *Part) forget(w *Work) {
-	if p.Works[w.Rec.Job.ID] == w && w.borrowed() {
-		p.borrowed--
+	if p.Works[w.Rec.Job.ID] == w {
+		if w.borrowed() {
+			p.borrowed--
+		}
+		if w.unseen {
+			p.unseen--
+		}
 	}
 	delete(p.Works, w.Rec.Job.ID)
 	p.blame.Over(w.Rec.Job.ID)
--- a/internal/standin/meeting_test.go
+++ b/internal/standin/meeting_test.go
@@ -122,7 +122,7 @@
 			}
 		}
 		to := s.now + time.Duration((g.length+g.slow)*float64(time.Second))
-		s.Late = append(s.Late, func(from, _, path string) (time.Duration, bool) {
+		s.Late = append(s.Late, func(from, path string, _ []byte) (time.Duration, bool) {
 			return time.Second, g.slow > 0 && s.now < to && strings.HasPrefix(path, "/changes") && slices.Contains(refused, from)
 		})
 		after := s.now + time.Duration((g.length+max(0, g.slow-1))*float64(time.Second))
@@ -140,7 +140,7 @@
 // late has a share of the requests to a path get no answer for a time, and be carried
 // out from least to most seconds later.
 func (s *Sim) late(from, to, share, least, most float64, paths ...string) {
-	s.Late = append(s.Late, func(_, _, path string) (time.Duration, bool) {
+	s.Late = append(s.Late, func(_, path string, _ []byte) (time.Duration, bool) {
 		now := s.now.Seconds()
 		if now < from || now >= to || !slices.Contains(paths, path) || s.rnd.Float64() >= share {
 			return 0, false
@@ -271,7 +271,7 @@
 					s.cut(x.Addr(), s.api(taker))
 				}
 			}
-			s.Late = append(s.Late, func(from, _, path string) (time.Duration, bool) {
+			s.Late = append(s.Late, func(from, path string, _ []byte) (time.Duration, bool) {
 				return 0, s.now < 15*time.Second && from == old.name && strings.HasPrefix(path, "/changes")
 			})
 		})
@@ -481,3 +481,90 @@
 		})
 	}
 }
+
+// writes are the kinds of transactions, told by what they change.
+var writes = []struct {
+	name string
+	is   func(o []wire.Op) bool
+}{
+	{"an acceptance or a move", func(o []wire.Op) bool { return puts(o, "a/j/") }},
+	{"an end", func(o []wire.Op) bool { return puts(o, "d/") }},
+	{"progress", func(o []wire.Op) bool { return puts(o, "a/p/") }},
+	{"progress that is removed", func(o []wire.Op) bool { return deletes(o, "a/p/") }},
+	{"a roster", func(o []wire.Op) bool { return puts(o, "a/m/") }},
+	{"a claim and its token", func(o []wire.Op) bool { return puts(o, "a/o/") && puts(o, "a/c/") }},
+	{"a release", func(o []wire.Op) bool { return deletes(o, "a/o/") }},
+	{"a sign of life", func(o []wire.Op) bool { return puts(o, "a/h/") }},
+}
+
+func puts(ops []wire.Op, under string) bool {
+	return slices.ContainsFunc(ops, func(o wire.Op) bool { return strings.HasPrefix(o.Put, under) })
+}
+
+func deletes(ops []wire.Op, under string) bool {
+	return slices.ContainsFunc(ops, func(o wire.Op) bool { return strings.HasPrefix(o.Delete, under) })
+}
+
+// Each kind of write late by 2 to 12 s, alone and in pairs: half of those that are made
+// in 30 s get no answer, while parts change hands by a refusal, a crash and a release,
+// machines are rented and lent, and jobs are accepted, moved, cancelled and done.
+func TestLateWrites(t *testing.T) {
+	if testing.Short() {
+		t.Skip("some seconds")
+	}
+	seen := map[string]int{}
+	for i := range writes {
+		for k := i; k < len(writes); k++ {
+			name := writes[i].name + " and " + writes[k].name
+			s := New(uint64(900 + 10*i + k))
+			s.API()
+			w := workday(s)
+			s.Cloud.Left["small/a/false"] = 3
+			s.Late = append(s.Late, func(_, path string, body []byte) (time.Duration, bool) {
+				var x wire.Txn
+				if path != "/multi" || s.now < 7*time.Second || s.now > 37*time.Second || wire.Decode(body, &x) != nil {
+					return 0, false
+				}
+				for _, kind := range []int{i, k} {
+					if writes[kind].is(x.Apply) && s.rnd.IntN(2) == 0 {
+						seen[writes[kind].name]++
+						return time.Duration((2 + 10*s.rnd.Float64()) * float64(time.Second)), true
+					}
+				}
+				return 0, false
+			})
+			s.Submit(8, Spec("wk-4", wire.Array, 12, 1, 8, nil))
+			s.Submit(10, Spec("wk-5", wire.Gang, 5, 4, 6, nil)) // larger than a part
+			s.Submit(12, Spec("wk-6", wire.Array, 30, 1, 6, nil))
+			s.Submit(15, Spec("wk-7", wire.Array, 6, 1, 40, nil))
+			s.Abort(20, "wk-7")
+			s.cutFor(9, 30, [][2]string{{"n0", "n2"}}) // signs of life
+			s.At(11, func() { s.Refuse("n1", "state", true) })
+			s.At(17, func() { s.Refuse("n1", "state", false) })
+			s.At(14, func() { w[5].Die() })
+			s.quick(22, 0.5, s.owner)
+			s.quick(28, 4, s.leader)
+			s.Start()
+			s.Run(200)
+			for _, b := range s.Broken {
+				t.Errorf("%s: rule broken: %s", name, b)
+			}
+			for _, id := range []string{"wk-1", "wk-2", "wk-4", "wk-5", "wk-6"} {
+				if got := s.Told(id); got != wire.Done {
+					t.Errorf("%s: %s is %q", name, id, got)
+				}
+			}
+			for _, id := range []string{"wk-3", "wk-7"} {
+				if got := s.Told(id); got != wire.Withdrawn {
+					t.Errorf("%s: %s is %q, was to be cancelled", name, id, got)
+				}
+			}
+		}
+	}
+	for _, kind := range writes {
+		if seen[kind.name] == 0 {
+			t.Errorf("no write was late that is %s", kind.name)
+		}
+	}
+	t.Logf("late: %v", seen)
+}
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -48,7 +48,7 @@
 	seen   *Seen
 	// Each of Late says of a request whether it gets no answer, and after how long it
 	// is carried out all the same.
-	Late []func(from, to, path string) (after time.Duration, ok bool)
+	Late []func(from, path string, body []byte) (after time.Duration, ok bool)
 	// OnCall is told each request as it is made.
 	OnCall func(from, method, path string)
 }
@@ -397,7 +397,7 @@
 		srv(method, path, body, answered)
 	}
 	for _, late := range s.Late {
-		if d, ok := late(from, to, path); ok {
+		if d, ok := late(from, path, body); ok {
 			mute = true
 			s.after(d, arrive)
 			return
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -289,8 +289,8 @@
 
 // Orders lists what the worker is to do now. They answer the newest report,
 // or are sent directly; either way the newest report is what a launch must
-// be outdated by. They go out under m.Token as it is after the call. Without launch nothing is started: a halt must not wait for what
-// only a launch needs.
+// be outdated by. They go out under m.Token as it is after the call. Without
+// launch nothing is started: a halt must not wait for what only a launch needs.
 func (m *Machine) Orders(direct, launch bool, now time.Duration) []wire.Command {
 	var halts, launches, reaps []wire.Command
 	var begun []*Run
