--- a/internal/standin/encounter_test.go
+++ b/internal/standin/encounter_test.go
@@ -264,9 +264,62 @@
 			}
 			return []string{"wk-4"}
 		}, nil},
+		// The leader has its workers and users alone for over a minute; jobs are cancelled
+		// and accepted through the others meanwhile, and it is back at once with all.
+		{"isolated-for-over-a-minute", func(s *Sim, w []*Worker) []string {
+			s.At(11, func() { s.after(72*time.Second, s.Isolate(s.leader().name)) })
+			s.Submit(9, Spec("wk-4", wire.Array, 6, 1, 100, nil))
+			s.Submit(20, Spec("wk-5", wire.Gang, 2, 3, 6, nil))
+			s.Submit(60, Spec("wk-6", wire.Array, 12, 1, 8, nil))
+			s.Abort(15, "wk-4")
+			return []string{"wk-5", "wk-6"}
+		}, func(t *testing.T, s *Sim, w []*Worker) { told(t, s, wire.Withdrawn, "wk-4") }},
 	})
 }
 
+// The leader ends; while another is chosen, and after, a second controller and a third
+// end and are back within a fraction of a second. Whenever that is, somebody leads, all
+// parts are owned within a lease and a half, no rule breaks and all is done.
+func TestBackInMidElection(t *testing.T) {
+	for i := range 32 {
+		s := New(uint64(1300 + i))
+		s.API()
+		s.history.Calm = 30 * time.Second
+		s.watchWaiting()
+		workday(s)
+		ids := append(burst(s, 11, 4, 6, 4), "wk-1", "wk-2")
+		at := 12 + 0.3*float64(i)
+		s.At(12, func() {
+			old := s.leader()
+			old.Crash()
+			s.after(time.Duration(200+200*i)*time.Millisecond, old.Start) // at once, or well after the election
+		})
+		next := func(k int) func() *Host {
+			return func() *Host { return s.Nodes[s.names()[k%len(s.names())]] }
+		}
+		s.quick(at, 0.25, next(i))
+		s.quick(at+0.15, 0.1, next(i+1))
+		s.At(at+1.5*s.S.Deployment.Workers.Lease, func() {
+			parts := map[int32]string{}
+			for _, n := range s.names() {
+				for _, p := range s.Nodes[n].Node.Describe().Parts {
+					parts[int32(p.Part)] = n
+				}
+			}
+			if len(parts) != len(s.all) || !s.leader().up {
+				t.Errorf("%.1f s after the leader's end two others: parts %v", at-12, parts)
+			}
+		})
+		s.Start()
+		s.Run(130)
+		for _, b := range append(s.Broken, s.Judge()...) {
+			t.Errorf("%.1f s after the leader's end two others: %s", at-12, b)
+		}
+		told(t, s, wire.Done, ids...)
+		told(t, s, wire.Withdrawn, "wk-3")
+	}
+}
+
 // A cancellation, a question and a repeated submission meet the end of a job's last
 // task, with no other trouble or with a state service that answers up to 1.2 s late:
 // before it ends, at the same moment, while its end is stored and after. Whatever was
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -38,6 +38,8 @@
 	may     int
 	idle    time.Duration // since when it has waited beside room for it; 0: it does not
 	left    time.Duration // the longest such time
+	on      time.Duration // how long after its cancellation was confirmed some of it was seen on a machine
+	late    int           // its tasks that came to be on a machine after that
 }
 
 func (h *History) job(id string) *past {
--- a/internal/standin/meeting_test.go
+++ b/internal/standin/meeting_test.go
@@ -230,6 +230,37 @@
 	}
 }
 
+// Who is refused alone hears from the others what was cancelled: it halts that at once,
+// starts none of it and tells its users, however old its cache is and becomes. (Without
+// the word it went on starting tasks for report_s, and what ran went with its leases, up
+// to cancel_s later: TestGap has the word lost in all its days.)
+func TestWordOfACancellation(t *testing.T) {
+	without := time.Duration(0)
+	for seed := uint64(1200); seed < 1206; seed++ {
+		for _, said := range []bool{true, false} {
+			g := gap{refused: both, length: 5, outage: 4.5, said: said, timing: (*Sim).longLeases}
+			s := g.play(seed)
+			for _, b := range s.Broken {
+				t.Errorf("seed %d: %s", seed, b)
+			}
+			for _, id := range []string{"wk-2", "wk-3", "wk-4", "wk-5", "wk-6", "wk-9"} {
+				p := s.history.job(id)
+				if !said {
+					without = max(without, p.on)
+					continue
+				}
+				// The next direct order; one that is on its way comes before it.
+				if p.on > 2*time.Second || p.late > 0 {
+					t.Errorf("seed %d: %s was on machines for %v after its cancellation, %d of its tasks came after it", seed, id, p.on, p.late)
+				}
+			}
+		}
+	}
+	if without < 10*time.Second {
+		t.Errorf("without the word at most %v: nothing was to be gained on these days", without)
+	}
+}
+
 // The users' sequence, to be read. Their own words: it broke most schedulers.
 func TestMeetingGap(t *testing.T) {
 	g := gap{refused: theLeader, length: 10, only: true}
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -181,6 +181,14 @@
 // cancelled: its user was told so now.
 func (s *Sim) cancelled(id string) {
 	s.aborted[id] = s.now
+	var look func()
+	look = func() {
+		if len(s.On(id)) > 0 {
+			s.history.job(id).on = s.now - s.aborted[id]
+			s.after(200*time.Millisecond, look)
+		}
+	}
+	look()
 	s.after(time.Duration(s.S.Deployment.Workers.Cancel*float64(time.Second)), func() {
 		s.each(func(w *Worker, t *task) {
 			if _, o := w.s.origin(t.Task); o.Job == id && t.on {
@@ -220,6 +228,9 @@
 	if job.OneZone && len(zones) > 1 || job.Spread && zones[w.zone] > (job.Tasks+1)/2 || w.spot && !job.Spot || job.Zone != "" && job.Zone != w.zone {
 		s.broken("wrong_place: %s on %s", t, w.id)
 	}
+	if home.aborted[whose.Job] > 1 {
+		home.history.job(whose.Job).late++
+	}
 	if at := home.aborted[whose.Job]; at > 1 && s.now > at+time.Duration(s.S.Deployment.Workers.Cancel*float64(time.Second)) {
 		s.broken("ran_cancelled: %s starts", t)
 	}
