Refused at once: a gang apart that could be in one zone only, an empty zone name

Need: users count jobs that are accepted though they can't run. A gang apart of two and more tasks that must be together, or may be in one zone only, could never be placed; a yard of "" was taken as any zone, which only null is.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -200,14 +200,21 @@
 	if t.CoresMax > 0 && n*j.Cores > t.CoresMax+eps || t.GPUsMax > 0 && n*j.GPUs > t.GPUsMax+eps {
 		return "needs more than the team's limit"
 	}
+	zones := map[string]bool{}
 	for _, mt := range in.h.Types() {
 		for _, z := range mt.Zones {
 			if part.Allows(j, mt, z, false) {
-				return ""
+				zones[z] = true
 			}
 		}
 	}
-	return "fits no allowed machine type"
+	switch {
+	case len(zones) == 0:
+		return "fits no allowed machine type"
+	case j.Shape == wire.Gang && j.Spread && j.Tasks > 1 && (j.OneZone || len(zones) < 2):
+		return "all of it in one zone, which apart rules out"
+	}
+	return ""
 }
 
 func (in *Intake) store(st *stamps, rec *part.JobRecord, reply Reply) {
--- a/internal/standin/encounter_test.go
+++ b/internal/standin/encounter_test.go
@@ -75,11 +75,13 @@
 		other, none, never := *sub, *sub, *sub
 		other.Pieces, other.Reckon = nil, nil
 		none.ID, never.ID = text(fmt.Sprintf("wk-x%d", n)), text(fmt.Sprintf("wk-y%d", n))
-		lacks := []func(){func() { none.Kit = nil }, func() { none.Cores = nil }, func() { none.Together = nil }, func() { none.Rank = text("urgent") }}
+		lacks := []func(){func() { none.Kit = nil }, func() { none.Cores = nil }, func() { none.Together = nil }, func() { none.Rank = text("urgent") }, func() { none.Yard = text("") }}
 		lacks[n%len(lacks)]()
-		cores, many, gang := 4096.0, uint64(9), wire.Gang
+		cores, many, gang, yes := 4096.0, uint64(9), wire.Gang, true
 		hopeless := []func(){func() { never.Cores = &cores }, func() { never.Crew = text("nobody") }, func() { never.Builds = []string{"none"} },
-			func() { never.Crew, never.Shape, never.Pieces = text("blue"), &gang, &many }}
+			func() { never.Crew, never.Shape, never.Pieces = text("blue"), &gang, &many },
+			func() { never.Shape, never.Pieces, never.Apart, never.Together = &gang, &many, &yes, &yes },
+			func() { never.Shape, never.Pieces, never.Apart, never.Yard = &gang, &many, &yes, text("b") }}
 		hopeless[n%len(hopeless)]()
 		s.At(at, func() {
 			node := s.all[n%len(s.all)]
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -156,6 +156,8 @@
 		return nil, "kit"
 	case !amount(s.PullGb):
 		return nil, "pullGb"
+	case s.Yard != nil && *s.Yard == "": // null is any zone
+		return nil, "yard"
 	case s.Together == nil:
 		return nil, "together"
 	case s.Apart == nil:
