A job that is called off by a peer's word keeps its record in the cache as it is

Read once more: part.drop emptied the chunks of the record that the cache still holds until it is told of the deletion; status of loans and the leader read it there.

Change: drop empties a copy.

--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -248,7 +248,9 @@
 
 // drop removes a job that is over: whatever is there of it must go.
 func (p *Part) drop(w *Work) {
-	w.Rec.Parts = nil
+	rec := *w.Rec // the cache may still have it: see node.calledOff
+	rec.Parts = nil
+	w.Rec = &rec
 	for _, m := range p.machines() {
 		for run := range m.All() {
 			if run.Job != w.Rec.Job.ID {
