--- a/internal/standin/encounter_test.go
+++ b/internal/standin/encounter_test.go
@@ -368,10 +368,10 @@
 			}
 			told(t, plain, wire.Done, "wk-1")
 			for _, first := range []string{"cancel", "ask", "submit"} {
-				for d := -0.04; d < 0.1+slow; d += 0.01 + 0.06*max(0, d) {
+				for d := -0.04 - slow; d < 0.1+slow; d += 0.01 + slow/12 {
 					s := play(func(s *Sim) {
 						for x, what := range []string{first, "ask", "cancel", "submit", "ask"} {
-							s.At(end+d+0.003*float64(x), func() { s.again(s.all[x%3], what, sub) })
+							s.At(end+d+(0.003+slow/4)*float64(x), func() { s.again(s.all[x%3], what, sub) })
 						}
 						for x, n := range s.all {
 							s.At(end+12+float64(x), func() { s.again(n, "submit", sub); s.again(n, "ask", sub) })
@@ -501,3 +501,30 @@
 		s.odd(at, at+2*length, sub)
 	}},
 }
+
+// The leader, or the owner of most machines, is alone with its workers and users for a
+// moment, for longer than a lease and for a minute; jobs are cancelled, accepted and done
+// through the others. No rule breaks, and all is known again and served.
+func TestAlone(t *testing.T) {
+	for i, who := range []func(*Sim) []string{theLeader, theLargest} {
+		for k, length := range []float64{3, 20, 60} {
+			s := New(uint64(1360 + 10*i + k))
+			s.API()
+			s.history.Calm = time.Duration((11 + length) * float64(time.Second))
+			s.watchWaiting()
+			workday(s)
+			ids := append(burst(s, 14, 4, 6, 4), "wk-1", "wk-2", "wk-5")
+			s.At(11, func() { s.after(time.Duration(length*float64(time.Second)), s.Isolate(who(s)[0])) })
+			s.Submit(8, Spec("wk-4", wire.Array, 6, 1, 90, nil))
+			s.Submit(16, Spec("wk-5", wire.Gang, 2, 3, 6, nil))
+			s.Abort(12.5, "wk-4")
+			s.Start()
+			s.Run(200)
+			for _, b := range append(s.Broken, s.Judge()...) {
+				t.Errorf("alone for %v s (%d): %s", length, i, b)
+			}
+			told(t, s, wire.Done, ids...)
+			told(t, s, wire.Withdrawn, "wk-3", "wk-4")
+		}
+	}
+}
