Mute machines: unusable, but not returned as if they were dead

LastReport is of reports: without them a machine gets nothing new, is no room and counts as out of reach, and is returned as mute when nothing is left on it (its lease is over) and it is so by itself, or after three leases.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"log/slog"
+
 	"curlewspool/internal/dispatch"
 	"curlewspool/internal/lead"
 	"curlewspool/internal/mesh"
@@ -150,6 +152,7 @@
 		return
 	}
 	n.over[id] = true
+	slog.Info("node: called off by another controller's word", "job", id)
 	n.intake.Over(id, part.Final{Status: wire.Withdrawn, Tasks: rec.Job.Tasks})
 	n.eachPart(func(p *part.Part) { p.OnJob(id, nil, 0) })
 }
--- a/internal/node/hearing.go
+++ b/internal/node/hearing.go
@@ -142,7 +142,7 @@
 			switch is := now - m.Here; {
 			case m.Session == 0 && is < n.round(), m.Session > 0 && (!m.Hears() || is < n.lease()/2):
 				continue
-			case now-m.LastHeard < n.reports()*3/2:
+			case now-m.LastReport < n.reports()*3/2:
 				here++
 			}
 			all++
--- a/internal/part/machines.go
+++ b/internal/part/machines.go
@@ -47,6 +47,13 @@
 		p.retire(m, "silent")
 		return
 	}
+	// One that answers orders and reaches nobody lives; what is on it ends with its lease
+	// if it goes on so. (Returned like a silent one it lost, half a lease early, what a
+	// shorter trouble would have let it keep: eleven machines of a recorded day.)
+	if since := now - m.LastReport; since > lease && !m.MayHold() && p.alone(m, now) || since > 3*lease {
+		p.retire(m, "mute")
+		return
+	}
 	// What may be on a deaf one runs on until its lease ends, and is gone then.
 	if since := m.DeafSince(); since > 0 && (now-since > lease && p.alone(m, now) || now-since > 3*lease) {
 		p.retire(m, "deaf")
@@ -110,7 +117,7 @@
 				continue
 			}
 			all++
-			if now-o.LastHeard > 2*p.report() || o.Deaf() {
+			if now-o.LastReport > 2*p.report() || o.Deaf() {
 				silent++
 			}
 		}
--- a/internal/part/moves.go
+++ b/internal/part/moves.go
@@ -86,7 +86,7 @@
 func (p *Part) short(w *Work, now time.Duration) int {
 	j := &w.Rec.Job
 	return p.lacks(j, func(m *Machine) int {
-		if m.retiring != "" || m.Deaf() || now-m.LastHeard > 3*p.report() || m.lent > now {
+		if m.retiring != "" || m.Deaf() || now-m.LastReport > 3*p.report() || m.lent > now {
 			return 0
 		}
 		return p.h.TypeOf(m.Type).Fits(j, j.Tasks)
--- a/internal/part/rooms.go
+++ b/internal/part/rooms.go
@@ -58,7 +58,7 @@
 // usable tells whether a machine may get more to do.
 func (p *Part) usable(m *Machine, now time.Duration) bool {
 	return m.Resolved && m.Hears() && m.Session > 0 && !m.lending && !m.draining && now >= m.lent && m.retiring == "" && !m.Noticed && now >= m.fullTo &&
-		now-m.LastHeard < 3*p.report()
+		now-m.LastReport < 3*p.report()
 }
 
 func (p *Part) rooms(now time.Duration) []*room {
--- a/internal/part/tenure_test.go
+++ b/internal/part/tenure_test.go
@@ -149,14 +149,14 @@
 		m := &Machine{Machine: worker.New(fmt.Sprint(i), 1, now)}
 		m.Zone = "a"
 		if i < 5 {
-			m.Zone, m.LastHeard = "b", now-time.Minute
+			m.Zone, m.LastHeard, m.LastReport = "b", now-time.Minute, now-time.Minute
 		}
 		p.Machines[m.ID] = m
 	}
 	if p.alone(p.Machines["0"], now) {
 		t.Error("a machine is called silent by itself while its whole zone is")
 	}
-	p.Machines["7"].LastHeard = now - time.Minute
+	p.Machines["7"].LastHeard, p.Machines["7"].LastReport = now-time.Minute, now-time.Minute
 	if !p.alone(p.Machines["7"], now) {
 		t.Error("one of fifteen in its zone is not called silent by itself")
 	}
--- a/internal/standin/freeze_test.go
+++ b/internal/standin/freeze_test.go
@@ -275,6 +275,33 @@
 	}
 }
 
+// The same with times of day that are as far apart as the settings allow, here by
+// seconds. Who took the part, with a clock that is behind, ends for longer; another, whose
+// clock is ahead, takes it when its key is gone: by its clock the old owner's time is over.
+func TestTakerEndsWithClocksApart(t *testing.T) {
+	for after := 5.0; after <= 14; after += 1.5 {
+		for _, off := range []float64{-2.5, 2.5} {
+			s := New(1400 + uint64(2*after))
+			s.API()
+			fleet(s, 12, 0)
+			for i, n := range s.all {
+				s.Nodes[n].set.Deployment.SkewMs = 2500
+				s.Nodes[n].Off = []float64{off, 0, -off}[i]
+			}
+			s.Submit(5, Spec("wk-1", wire.Array, 24, 1, 70, nil))
+			s.At(12, func() { s.At(52, s.CutZone("b")) }) // n1 is there
+			s.crash(12+after, 60, "n0")
+			s.quick(13+after, 2.5, func() *Host { return s.Nodes["n2"] })
+			s.Start()
+			s.Run(220)
+			for _, b := range s.Broken {
+				t.Errorf("n0 ends %v s after the cut, %v s ahead: rule broken: %s", after, off, b)
+			}
+			told(t, s, wire.Done, "wk-1")
+		}
+	}
+}
+
 // The state service refuses one controller alone, and then everybody for a
 // while. When it is back for the others, they know from what that one says of
 // itself that it still is not answered, and take its part within lease_s/4 of the
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -437,6 +437,7 @@
 	up    bool
 	start time.Duration
 	Rate  float64 // of its steady clock; 0: exact
+	Off   float64 // how far its time of day is ahead, in seconds
 	Node  *node.Node
 	Full  bool // it has no socket left for users and workers
 
@@ -515,7 +516,9 @@
 func (w *world) Now() time.Duration {
 	return time.Duration(float64(w.h.s.now-w.h.start)*rate(w.h.Rate)) + time.Second
 }
-func (w *world) Wall() time.Time  { return time.Unix(1_700_000_000, 0).Add(w.h.s.now) }
+func (w *world) Wall() time.Time {
+	return time.Unix(1_700_000_000, 0).Add(w.h.s.now + time.Duration(w.h.Off*float64(time.Second)))
+}
 func (w *world) Rand() *rand.Rand { return w.h.s.rnd }
 func (w *world) After(d time.Duration, f func()) {
 	// Rounded up: what waits for a moment of its own clock must not find that
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -93,9 +93,10 @@
 	Notice   time.Duration
 	Noticed  bool
 
-	// LastHeard is when a report came that the worker sent by itself. An answer to
-	// what we sent shows that it lives, not that it can keep its lease.
 	LastHeard time.Duration
+	// LastReport is when a report came that the worker sent by itself. An answer to
+	// what we sent shows that it lives, not that it can keep its lease.
+	LastReport time.Duration
 	// LastAnswer is the latest moment at which its lease may have been renewed, or
 	// a launch ordered that its session of that time may carry out: what is there
 	// is gone a lease after that.
@@ -116,7 +117,7 @@
 // New makes a machine whose lease may have been renewed up to lastAnswer by
 // an earlier owner.
 func New(id string, base uint64, lastAnswer time.Duration) *Machine {
-	return &Machine{ID: id, Token: base, Base: base, LastAnswer: lastAnswer, LastHeard: lastAnswer, Runs: map[RunKey]*Run{}, Version: 1}
+	return &Machine{ID: id, Token: base, Base: base, LastAnswer: lastAnswer, LastHeard: lastAnswer, LastReport: lastAnswer, Runs: map[RunKey]*Run{}, Version: 1}
 }
 
 // Event is what a report changed.
@@ -153,8 +154,9 @@
 	}
 	m.Session, m.Seq = r.Session, r.Seq
 	m.Address, m.Type, m.Zone, m.Spot = r.Address, r.Type, r.Zone, r.Spot
+	m.LastHeard = now
 	if posted {
-		m.LastHeard = now
+		m.LastReport = now
 	}
 	m.Noticed = r.Notice != nil
 	if m.Noticed {
