--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -179,7 +179,7 @@
 			n.desk.Changed(id, rec)
 		}
 		e, _ := n.l.Get(key)
-		if !n.over[id] {
+		if !n.over[id] { // else a late answer to our own write from before its end
 			n.eachPart(func(p *part.Part) { p.OnJob(id, rec, e.Stamp); n.feedProgress(p, id) })
 		}
 	case strings.HasPrefix(key, "a/p/"):
--- a/internal/node/owners.go
+++ b/internal/node/owners.go
@@ -95,9 +95,6 @@
 		p.OnMachine(id, n.machines[id])
 	}
 	for _, id := range sortedKeys(n.jobs) {
-		if n.over[id] {
-			continue
-		}
 		e, _ := n.l.Get(part.JobKey(id))
 		p.OnJob(id, n.jobs[id], e.Stamp)
 		n.feedProgress(p, id)
