A gang whose unlaunched tasks are each stopped is queued again, not halting for ever

None had been launched yet, as its record was late; stopping the first took all off and cleared the attempt, and stopping the second made the gang, of which nothing was left, one that is being stopped, for ever.

Change: a task of a gang that is not placed any more is not stopped.

--- a/internal/part/runs.go
+++ b/internal/part/runs.go
@@ -234,7 +234,10 @@
 func (p *Part) stopRun(w *Work, pl *placement, why string) {
 	list := []*placement{pl}
 	if w.gang() {
-		if w.halting {
+		// Its other tasks may be listed to be stopped, too: the first may have ended
+		// the attempt, if none of it had been launched. (It then counted as halting
+		// for ever: one of 1,050 random days.)
+		if cur := w.runs[pl.run.Task]; w.halting || cur == nil || cur.run != pl.run {
 			return
 		}
 		w.halting = true
--- a/internal/part/tenure_test.go
+++ b/internal/part/tenure_test.go
@@ -104,11 +104,17 @@
 // Found on a random day: a machine went away with two tasks of a gang that were
 // not launched yet. Telling the first gone took the other off as well, which was
 // then told gone itself, and the controller ended. A spot notice did the same
-// (found on a reading).
+// (found on a reading). On another, work of a higher rank stopped each of its tasks: the
+// first took the others off, and the second made it a gang that is being stopped, for ever.
 func TestMachineGoneWithHalfAGang(t *testing.T) {
 	for name, end := range map[string]func(p *Part, m *Machine){
 		"gone":   func(p *Part, m *Machine) { p.OnMachine("i-1", nil) },
 		"notice": func(p *Part, m *Machine) { p.drain(m, p.h.Now()) },
+		"preempted": func(p *Part, m *Machine) {
+			for _, pl := range p.Works["wk-2"].placements() {
+				p.stopRun(p.Works["wk-2"], pl, "preempted by wk-3")
+			}
+		},
 	} {
 		_, p := queued(t)
 		p.OnJob("wk-2", &JobRecord{Job: wire.Job{ID: "wk-2", Shape: wire.Gang, Tasks: 2, Cores: 1, Estimate: 9}, Chunk: 2, Parts: []int{0}}, 4)
@@ -118,8 +124,8 @@
 			t.Fatalf("%s: %d tasks of the gang are placed, want both", name, w.nplaced)
 		}
 		end(p, p.Machines["i-1"])
-		if w.nplaced != 0 || w.idle != 2 || w.broken {
-			t.Errorf("%s: %d placed, %d queued, broken %v; want the gang queued whole", name, w.nplaced, w.idle, w.broken)
+		if w.nplaced != 0 || w.idle != 2 || w.broken || w.halting {
+			t.Errorf("%s: %d placed, %d queued, broken %v, halting %v; want the gang queued whole", name, w.nplaced, w.idle, w.broken, w.halting)
 		}
 	}
 }
--- a/internal/standin/random_test.go
+++ b/internal/standin/random_test.go
@@ -409,6 +409,7 @@
 func TestFailedOnce(t *testing.T) {
 	for _, seed := range []int{
 		200018, 200229, 200244, 200352, 200586, 200590, 200681, // jobs of a team whose part has no machine left
+		203025, // a gang that was stopped twice before its launch
 		200526, // of the judge: an unaccepted job's repetition without a field gets 400
 	} {
 		if _, script, wrong := play(seed); len(wrong) > 0 {
