--- a/internal/standin/encounter_test.go
+++ b/internal/standin/encounter_test.go
@@ -279,9 +279,38 @@
 			s.Abort(15, "wk-4")
 			return []string{"wk-5", "wk-6"}
 		}, func(t *testing.T, s *Sim, w []*Worker) { told(t, s, wire.Withdrawn, "wk-4") }},
+		// Half of a chunk is done when its part loses its machines, the rest moves to other
+		// parts; copies of the reports that listed what is done, and what ran, come for long.
+		{"copies-of-a-moved-chunk", func(s *Sim, w []*Worker) []string {
+			s.copied(6, 60, 3, 9, 20, 30)
+			s.Submit(14, Spec("wk-4", wire.Array, 24, 1, 5, nil))
+			s.At(20.5, func() {
+				h := s.holder(s.has("wk-4")[0])
+				for _, x := range w {
+					if s.holder(x) == h {
+						x.Die()
+					}
+				}
+			})
+			return []string{"wk-4"}
+		}, func(t *testing.T, s *Sim, w []*Worker) {
+			if n := s.startedOnce("wk-4"); n != 21 { // three ran on machines that died
+				t.Errorf("%d of 24 tasks started once only, want 21", n)
+			}
+		}},
 	})
 }
 
+// startedOnce counts the tasks of a job that started once only.
+func (s *Sim) startedOnce(id string) (n int) {
+	for i := range s.jobs[id].Tasks {
+		if strings.Count(s.Text(), fmt.Sprintf("starts %s/%d\n", id, i)) == 1 {
+			n++
+		}
+	}
+	return n
+}
+
 // The leader ends; while another is chosen, and after, a second controller and a third
 // end and are back within a fraction of a second. Whenever that is, somebody leads, all
 // parts are owned within a lease and a half, no rule breaks and all is done.
