dev: each cluster's controllers at their own address of the loopback

Change: a cluster's controllers are at an address 127.x.y.z drawn for it, from which no connection comes unless it asks for it; 127.0.0.1 only where the machine has no other.

--- a/cmd/curlew/dev.go
+++ b/cmd/curlew/dev.go
@@ -35,7 +35,7 @@
 	c := &cobra.Command{
 		Use: "dev", Short: "Run whole clusters on this machine until Ctrl-C",
 		Long: "Starts stand-ins for the state service, the cloud and the machines, and real controllers,\n" +
-			"all on 127.0.0.1, and prints how to speak to them. Ctrl-C ends all of it, and nothing else.",
+			"all on the loopback, and prints how to speak to them. Ctrl-C ends all of it, and nothing else.",
 		Example: "  curlew dev --sample 6          # start, run sample jobs, show them done, end\n" +
 			"  curlew dev --clusters 2 --kill east/@30s",
 		Args: cobra.NoArgs,
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -163,13 +164,21 @@
 	return d, nil
 }
 
-// ports finds n free ports of the loopback. They are free again when it
-// returns: a controller that finds its port taken is started anew, as the
-// platform would.
+// ports finds n free ports of the loopback, all at one address of it that only
+// this cluster has. They are free again when it returns, and no connection of
+// another process can be given one meanwhile: those come from 127.0.0.1. Where
+// the machine has no other address of the loopback than that, it is that one,
+// and a controller that finds its port taken is started anew.
 func ports(n int) ([]string, error) {
+	host := fmt.Sprintf("127.%d.%d.%d", 1+rand.N(254), rand.N(256), 1+rand.N(254))
+	if l, err := net.Listen("tcp4", net.JoinHostPort(host, "0")); err != nil {
+		host = "127.0.0.1"
+	} else {
+		l.Close()
+	}
 	var out []string
 	for i := 0; i < n; i++ {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		l, err := net.Listen("tcp4", net.JoinHostPort(host, "0"))
 		if err != nil {
 			return nil, err
 		}
--- a/internal/dev/dev_test.go
+++ b/internal/dev/dev_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -98,6 +99,43 @@
 	}
 }
 
+// A controller's port stays its own while it is away: CI failed once, and a run beside the
+// bench, as a connection of another process had been given it meanwhile.
+func TestPortsStayFree(t *testing.T) {
+	addrs, err := ports(9)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Whoever else listens, and whoever connects without saying from where.
+	others, err := net.Listen("tcp4", addrs[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer others.Close()
+	out, err := net.Dial("tcp4", addrs[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer out.Close()
+	host, _, _ := net.SplitHostPort(addrs[0])
+	if from, _, _ := net.SplitHostPort(out.LocalAddr().String()); from == host {
+		t.Errorf("a connection comes from %s: it may take a port there", from)
+	}
+	for _, a := range addrs[1:] {
+		_, port, _ := net.SplitHostPort(a)
+		taken, err := net.Listen("tcp4", "127.0.0.1:"+port)
+		if err == nil {
+			defer taken.Close()
+		}
+		l, err := net.Listen("tcp4", a)
+		if err != nil {
+			t.Errorf("%v, with the port taken at 127.0.0.1", err)
+			continue
+		}
+		l.Close()
+	}
+}
+
 func TestParseKill(t *testing.T) {
 	for s, want := range map[string]string{"n1@20s": "{ n1 20s 0s}", "east/n0@1m+5s": "{east n0 1m0s 5s}", "east/@30s": "{east  30s 0s}",
 		"n1": "", "@5s": "", "n1@x": "", "n1@5s+0s": "", "n1@-5s": ""} {
