Ledger: an answer that comes late does not put back what was deleted since

Cause, found by reading: the answer to a transaction of our own was put into the cache unless the cache had a newer value of the key. A key that was deleted meanwhile has none. A chunk's move, carried out at once and answered late, and the job called off in between through another controller: the mover, who had been told of the deletion by its watch, took the answer for news.

Change: what the cache has passed it knows better than an answer. An acceptance whose job is over by the time of its answer tells the end.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -245,7 +245,7 @@
 				[]wire.Op{{Put: part.JobKey(id), Value: wire.Encode(rec)}}
 		},
 		Done: func(ok bool, _ uint64) {
-			if ok {
+			if _, over := in.finals.Get(id); ok && !over && in.live(id) { // else the answer came late
 				slog.Debug("intake: accepted", "job", id, "rank", rec.Rank, "parts", rec.Parts)
 				in.h.News(id)
 				in.times.accepted(*st, in.w.Now())
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -378,6 +378,9 @@
 // Get reads the cache.
 func (l *Ledger) Get(key string) (Entry, bool) { e, ok := l.cache[key]; return e, ok }
 
+// Cached is the number of keys in the cache.
+func (l *Ledger) Cached() int { return len(l.cache) }
+
 // Stamp gives the condition under which key is as the cache has it.
 func (l *Ledger) Stamp(key string) wire.Cond { return wire.Cond{Key: key, Stamp: l.cache[key].Stamp} }
 
@@ -639,7 +642,11 @@
 	l.inFlight--
 	for _, o := range b.txn.Apply {
 		key := o.Put + o.Delete
-		if !strings.HasPrefix(key, Root) || l.cache[key].Stamp >= stamp {
+		// What the cache has passed it knows better than an answer that comes late: a
+		// key that is not there any more was deleted since. (A chunk's move, its answer
+		// held up, and the job called off by then through another controller: the answer
+		// put the job back into this one's cache, for good, where it was started again.)
+		if !strings.HasPrefix(key, Root) || l.cache[key].Stamp >= stamp || l.loaded && stamp <= l.rev {
 			continue
 		}
 		if o.Put != "" {
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -173,6 +174,61 @@
 	}
 }
 
+// A transaction is carried out at once and its answer held up; meanwhile another
+// controller deletes what it wrote, or writes it anew, and the watch brings both. The
+// answer must not put back what is gone: nothing would ever take it out again. Before,
+// a job that was called off while the answer to its chunk's move was late lived on.
+func TestLateAnswerAfterDeletion(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		op    wire.Op
+		later []wire.Change // made by others after it
+		told  []string      // what the cache's readers were told
+		stamp uint64        // of the key in the end; 0: it is not there
+	}{
+		{"put, deleted by another", wire.Op{Put: "a/j/x"}, []wire.Change{{Put: "a/j/x", Stamp: 11}, {Delete: "a/j/x", Stamp: 12}}, []string{"11", "gone"}, 0},
+		{"put, written anew by another", wire.Op{Put: "a/j/x"}, []wire.Change{{Put: "a/j/x", Stamp: 11}, {Put: "a/j/x", Stamp: 12}}, []string{"11", "12"}, 12},
+		{"deleted, written anew by another", wire.Op{Delete: "a/j/x"}, []wire.Change{{Delete: "a/j/x", Stamp: 11}, {Put: "a/j/x", Stamp: 12}}, []string{"gone", "12"}, 12},
+		{"put, nothing since", wire.Op{Put: "a/j/x"}, nil, []string{"11"}, 11},
+	} {
+		w, l := open(func(*wire.Txn) (int, wire.TxnResult) { return 200, wire.TxnResult{Ledger: 11} })
+		var told []string
+		l.change = func(key string, value []byte) {
+			switch e, ok := l.Get(key); {
+			case key == "":
+			case !ok:
+				told = append(told, "gone")
+			default:
+				told = append(told, strconv.FormatUint(e.Stamp, 10))
+			}
+		}
+		l.loaded, l.rev, w.slow = true, 10, true
+		done := []bool(nil)
+		l.Write(Urgent, &Write{
+			Build: func(n string) ([]wire.Cond, []wire.Op) {
+				op := c.op
+				if op.Put != "" {
+					op.Value = wire.Encode(map[string]string{"w": n})
+				}
+				return []wire.Cond{{Key: "a/j/x"}}, []wire.Op{op}
+			},
+			Done: func(ok bool, _ uint64) { done = append(done, ok) },
+		})
+		w.settle()
+		if len(c.later) > 0 {
+			l.absorb(&wire.Changes{Ledger: 12, Log: c.later})
+		}
+		for _, f := range w.held {
+			f()
+		}
+		w.settle()
+		e, _ := l.Get("a/j/x")
+		if !slices.Equal(told, c.told) || e.Stamp != c.stamp || !slices.Equal(done, []bool{true}) {
+			t.Errorf("%s: readers were told %v, the cache has stamp %d, the writer heard %v; want %v, %d and that it was applied", c.name, told, e.Stamp, done, c.told, c.stamp)
+		}
+	}
+}
+
 // Answers of the state service that cannot be one: none proves that the cache is
 // current, or changes it, or ends the process; a transaction that is said to be
 // applied under no revision is looked for.
--- a/internal/standin/encounter_test.go
+++ b/internal/standin/encounter_test.go
@@ -378,7 +378,7 @@
 				s.Submit(5, sub)
 				if slow > 0 {
 					s.At(7, func() {
-						s.State.Slow = func() time.Duration { return time.Duration(slow * s.rnd.Float64() * float64(time.Second)) }
+						s.State.Slow = func(string) time.Duration { return time.Duration(slow * s.rnd.Float64() * float64(time.Second)) }
 					})
 				}
 				meet(s)
--- a/internal/standin/meeting_test.go
+++ b/internal/standin/meeting_test.go
@@ -90,7 +90,7 @@
 	down := false
 	if g.answers > 0 {
 		s.At(at-5, func() {
-			s.State.Slow = func() time.Duration { return time.Duration(s.rnd.Float64() * g.answers * float64(time.Second)) }
+			s.State.Slow = func(string) time.Duration { return time.Duration(s.rnd.Float64() * g.answers * float64(time.Second)) }
 		})
 	}
 	outage := func() {
@@ -394,7 +394,7 @@
 		// the leader alone and then everybody.
 		{"slow-then-refused", func(s *Sim, w []*Worker) []string {
 			s.At(8, func() {
-				s.State.Slow = func() time.Duration { return time.Duration(1.8 * s.rnd.Float64() * float64(time.Second)) }
+				s.State.Slow = func(string) time.Duration { return time.Duration(1.8 * s.rnd.Float64() * float64(time.Second)) }
 			})
 			s.At(20, func() { s.State.Slow = nil })
 			s.At(16, func() {
--- a/internal/standin/overlap_test.go
+++ b/internal/standin/overlap_test.go
@@ -13,8 +13,12 @@
 
 // burst submits several arrays within a second.
 func burst(s *Sim, at float64, jobs, tasks int, estimate float64) (ids []string) {
+	return arrays(s, "wk-b", at, jobs, tasks, estimate)
+}
+
+func arrays(s *Sim, name string, at float64, jobs, tasks int, estimate float64) (ids []string) {
 	for i := 0; i < jobs; i++ {
-		id := fmt.Sprintf("wk-b%d", i+1)
+		id := fmt.Sprintf("%s%d", name, i+1)
 		s.Submit(at+float64(i)/float64(jobs), Spec(id, wire.Array, tasks, 1, estimate, nil))
 		ids = append(ids, id)
 	}
--- a/internal/standin/random_test.go
+++ b/internal/standin/random_test.go
@@ -21,6 +21,9 @@
 // encounterDays: from this seed on those of encounter_test.go are among them.
 const encounterDays = 200000
 
+// echoDays: and those of echo_test.go.
+const echoDays = 300000
+
 // troubles begin at a time and are over by themselves; each says what it does.
 var troubles = []struct {
 	name string
@@ -184,7 +187,7 @@
 	}},
 	{"the state service is slow", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
 		s.At(at, func() {
-			s.State.Slow = func() time.Duration {
+			s.State.Slow = func(string) time.Duration {
 				if r.IntN(3) > 0 {
 					return 0
 				}
@@ -334,6 +337,9 @@
 		if seed >= encounterDays {
 			pool = slices.Concat(encounters, meetings)
 		}
+		if seed >= echoDays { // half of what meets is of these
+			pool = slices.Concat(echoes, echoes, echoes, echoes, pool)
+		}
 		for range 2 + r.IntN(2) {
 			m, length := pool[r.IntN(len(pool))], 2+12*r.Float64()
 			if seen[m.name] {
@@ -364,6 +370,10 @@
 	s.watchWaiting()
 	s.Start()
 	s.Run(400)
+	if len(s.uncurrent()) > 0 { // not for something that is on its way just now
+		s.Run(405)
+		wrong = append(wrong, s.uncurrent()...)
+	}
 	wrong = append(wrong, s.Broken...)
 	wrong = append(wrong, s.Judge()...)
 	for id := range s.jobs {
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -28,7 +28,7 @@
 	next    uint64
 	open    []func(final bool) bool
 	Writes  int
-	Slow    func() time.Duration // how late an answer leaves; nil: at once
+	Slow    func(path string) time.Duration // how late an answer leaves; nil: at once
 	// What of the limits was used.
 	requests, changes budget
 }
@@ -74,7 +74,7 @@
 
 func (st *State) serve(method, path string, body []byte, reply func(int, any)) {
 	if st.Slow != nil {
-		at, soon := st.Slow(), reply
+		at, soon := st.Slow(path), reply
 		reply = func(status int, answer any) { st.s.after(at, func() { soon(status, answer) }) }
 	}
 	if st.Down {
