lead: who was taken from by force is counted from when the taking was seen

Cause, found by reading: Owner.Until, up to when the owner before may answer workers, was worked out when the claim was built. A claim without an answer is sent again under the same conditions, or carried out late; taken that much later, the owner before may answer for a grant's life from then on, while the taker, the taker after a restart and whoever takes the key when it is gone counted on less, or on nothing: the way to a task that runs twice.

Change: the record says that it was taken by force, and who reads it counts the owner before from the reading, which is later than the taking; the taker from the answer.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -36,6 +36,10 @@
 	// the key is taken again: who took it may end and come back, knowing nothing
 	// of that. (Found on a scored day: 121 tasks ran twice.)
 	Until float64 `cbor:"u,omitempty"`
+	// Forced: the key was taken from an owner that may be well. When that was only
+	// the state service knows (a claim without an answer is sent again, or carried
+	// out late), so who reads it counts that owner's time from the reading.
+	Forced bool `cbor:"f,omitempty"`
 }
 
 type counter struct {
@@ -84,6 +88,9 @@
 		}
 		b.owners[key] = o
 		b.until[key] = max(b.until[key], o.Until)
+		if o.Forced {
+			b.until[key] = max(b.until[key], b.Until())
+		}
 	}
 	if h, ok := b.held[key]; ok {
 		if e, there := b.l.Get(key); !there || e.Stamp > h.stamp {
@@ -156,10 +163,10 @@
 	b.claiming[key] = true
 	was := b.owners[key].Host
 	var token uint64
-	until := 0.0
+	forced := was != "" && was != b.self
 	b.l.Write(ledger.Urgent, &ledger.Write{
 		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
-			if !b.l.Grant.Valid() || b.owners[key].Host != was || was != "" && was != b.self && !force {
+			if !b.l.Grant.Valid() || b.owners[key].Host != was || forced && !force {
 				return nil, nil
 			}
 			var c counter
@@ -171,12 +178,13 @@
 			c.W = nonce
 			c.N++
 			token = c.N * TokenStep
-			until = b.until[key] // the taker's grant may have ended before the one it took it from stops
-			if was != "" && was != b.self {
-				until = b.Until()
+			// It stays: the taker's grant may end before the one it took the key from stops.
+			until := b.until[key]
+			if forced {
+				until = max(until, b.Until())
 			}
 			return []wire.Cond{b.l.Stamp(key), b.l.Stamp(counterKey)}, []wire.Op{
-				{Put: key, Value: wire.Encode(&Owner{W: nonce, Host: b.self, Token: token, Until: until}), Lease: b.l.Grant.ID},
+				{Put: key, Value: wire.Encode(&Owner{W: nonce, Host: b.self, Token: token, Until: until, Forced: forced}), Lease: b.l.Grant.ID},
 				{Put: counterKey, Value: wire.Encode(&c)}}
 		},
 		Done: func(ok bool, stamp uint64) {
@@ -188,9 +196,12 @@
 				return // taken away again meanwhile
 			}
 			b.held[key] = held{stamp, token}
-			b.owners[key] = Owner{Host: b.self, Token: token, Until: until}
+			if forced { // it was carried out before now, whenever it was sent
+				b.until[key] = max(b.until[key], b.Until())
+			}
+			b.owners[key] = Owner{Host: b.self, Token: token, Until: b.until[key], Forced: forced}
 			slog.Info("lead: taken", "key", key, "token", token, "from", was)
-			b.Taken(key, token, until)
+			b.Taken(key, token, b.until[key])
 		},
 	})
 }
