fleet: gangs bound to zones are rented for zone by zone

Cause: machines were rented wherever they were cheapest.

Change: for a gang apart what is free, boots and is rented counts zone by zone, up to what a zone may take; for a gang in one zone the same once it has waited for as long as machines may boot, in the zone that has most and where the cloud has the rest.

Tests: TestGangsBoundToZones (7 cases).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -24,6 +24,8 @@
 	Waited float64   // since its submission
 	Starts float64   // seconds until it is expected to start where it waits; 0: not known
 	Due    []float64 // seconds after submission by which it should be done, rising
+	// Free, of a gang, is how many of its tasks would start in each zone now, in its part.
+	Free map[string]int
 }
 
 // Busy is what runs now, of spot jobs and of others.
@@ -383,16 +385,18 @@
 	probed := map[option]bool{}
 	for _, g := range gaps {
 		n := g.Tasks
+		z := f.zonesOf(&g, bins)
+		n -= z.free
 		for _, b := range bins {
 			if n <= 0 {
 				break
 			}
 			if part.Allows(g.Job, b.t, b.zone, b.spot) {
-				n -= b.take(g.Job, n)
+				n -= z.took(b.zone, b.take(g.Job, min(n, z.may(b.zone))))
 			}
 		}
 		for n > 0 {
-			o, ok := f.cheapest(g, n, &all, probed, late, now)
+			o, ok := f.cheapest(g, n, &z, &all, probed, late, now)
 			if !ok {
 				break
 			}
@@ -410,7 +414,7 @@
 			if g.Job.Spot { // spot machines wanted now count as well
 				all.added += b.cores
 			}
-			k := b.take(g.Job, n)
+			k := z.took(o.zone, b.take(g.Job, min(n, z.may(o.zone))))
 			if k == 0 {
 				break
 			}
@@ -437,15 +441,15 @@
 // cheapest finds what to rent for up to n tasks of a job: the least money for
 // a task until it is done, boot time included; a boot counts twice, since the
 // job waits for it as well.
-func (f *Fleet) cheapest(g Gap, n int, all *demand, probed map[option]bool, late map[option]int, now time.Duration) (option, bool) {
+func (f *Fleet) cheapest(g Gap, n int, z *zones, all *demand, probed map[option]bool, late map[option]int, now time.Duration) (option, bool) {
 	var best option
 	cost := math.Inf(1)
 	for _, name := range slices.Sorted(maps.Keys(f.types)) {
 		t := f.types[name]
-		for _, z := range t.Zones {
+		for _, zone := range t.Zones {
 			for _, spot := range []bool{true, false} {
-				o := option{name, z, spot}
-				if !part.Allows(g.Job, t, z, spot) || probed[o] || now < f.refused[o].until {
+				o := option{name, zone, spot}
+				if z.may(zone) <= 0 || !part.Allows(g.Job, t, zone, spot) || probed[o] || now < f.refused[o].until {
 					continue
 				}
 				if !spot && g.Starts > 0 && g.Starts < t.Boot {
@@ -464,7 +468,7 @@
 					continue
 				}
 				// What this job leaves free is there for the others that wait.
-				used := min(1, max(float64(min(full, n))/float64(full), all.cores/max(t.Cores, 1)))
+				used := min(1, max(float64(min(full, n, z.may(zone)))/float64(full), all.cores/max(t.Cores, 1)))
 				c := price / used / float64(full) * (2*t.Boot + max(g.Job.Estimate, 1))
 				// Where machines are overdue another may be as well: rather another
 				// zone, and another type only if it costs little more.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -114,6 +114,7 @@
 
 // asker is a cloud that has no spot machines and plenty of ordinary ones.
 type asker struct {
+	none  string // zone without machines
 	now   time.Duration
 	calls []wire.Rental
 }
@@ -129,7 +130,7 @@
 		return
 	}
 	w.calls = append(w.calls, *r)
-	if r.Spot {
+	if r.Spot || w.none == r.Zone {
 		done(503)
 		return
 	}
@@ -200,3 +201,46 @@
 		}
 	}
 }
+
+// What is rented for a gang that is bound to zones, until all of it boots or is free:
+// a machine in the zone that lacks one, not wherever it is cheapest. Found on a random
+// day: a gang apart waited for ever, while machines came up in the zone that had one.
+func TestGangsBoundToZones(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		gang   wire.Job
+		waited float64
+		free   map[string]int
+		none   string // the cloud has no machine in this zone
+		want   string // zones rented in
+	}{
+		{"apart, one free", wire.Job{Tasks: 2, Spread: true}, 5, map[string]int{"a": 2}, "", "b"},
+		{"apart, none free", wire.Job{Tasks: 4, Spread: true}, 5, nil, "", "aabb"},
+		{"apart, one free where the cloud has none", wire.Job{Tasks: 3, Spread: true}, 5, map[string]int{"a": 1}, "a", "bb"},
+		{"in one zone, new", wire.Job{Tasks: 2, OneZone: true}, 5, map[string]int{"b": 1}, "", "aa"},
+		{"in one zone, late, one free", wire.Job{Tasks: 3, OneZone: true}, 60, map[string]int{"b": 1}, "", "bb"},
+		{"in one zone, late, one free where the cloud has none", wire.Job{Tasks: 2, OneZone: true}, 60, map[string]int{"a": 1}, "a", "bb"},
+		{"anywhere, late", wire.Job{Tasks: 2}, 60, nil, "", "aa"},
+	} {
+		s := &settings.Settings{Operators: settings.Defaults()}
+		s.Deployment.Cloud.RPS, s.Deployment.Cloud.ListLag, s.Deployment.Workers.Lease = 100, 1000, 10
+		w := &asker{none: c.none}
+		f := New(w, s, 1)
+		types := map[string]*wire.MachineType{"quick": {Name: "quick", Cores: 10, Memory: 99, Price: 1, Boot: 20, Zones: []string{"a", "b"}}}
+		c.gang.Shape, c.gang.Cores, c.gang.Memory, c.gang.Estimate = wire.Gang, 10, 1, 30
+		got := ""
+		for range 14 { // before any is up
+			w.now += time.Second
+			f.Tick(types, nil, nil, []Gap{{Job: &c.gang, Tasks: c.gang.Tasks, Waited: c.waited, Free: c.free}}, Busy{},
+				func(int) float64 { return 0 }, func([]wire.ListedMachine) {}, func([]string) {})
+		}
+		for _, r := range w.calls {
+			if r.Zone != c.none {
+				got += strings.Repeat(r.Zone, r.Count)
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: rented in %q, want %q", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/node/rent.go
+++ b/internal/node/rent.go
@@ -138,6 +138,23 @@
 	return before >= need
 }
 
+// freeIn counts, by zone, the tasks of a gang bound to zones that would start now in
+// its part, of which s told.
+func (n *Node) freeIn(s *mesh.Status, g *mesh.Gap, j *wire.Job) map[string]int {
+	if j.Shape != wire.Gang || !j.OneZone && !j.Spread {
+		return nil
+	}
+	free := map[string]int{}
+	for _, p := range s.Parts {
+		if p.Part == g.Part {
+			for _, r := range p.Free {
+				free[r.Zone] += part.RoomFor(n, j, r, false)
+			}
+		}
+	}
+	return free
+}
+
 func (n *Node) rent() {
 	if len(n.types) == 0 {
 		return
@@ -146,7 +163,8 @@
 	for _, s := range n.statuses() {
 		for _, g := range s.Gaps {
 			if rec := n.jobs[g.Job]; rec != nil {
-				gaps = append(gaps, fleet.Gap{Job: &rec.Job, Tasks: int(g.Tasks), Waited: n.Wall() - rec.At, Starts: g.StartsS, Due: n.Deadlines(&rec.Job)})
+				gaps = append(gaps, fleet.Gap{Job: &rec.Job, Tasks: int(g.Tasks), Waited: n.Wall() - rec.At, Starts: g.StartsS, Due: n.Deadlines(&rec.Job),
+					Free: n.freeIn(s, g, &rec.Job)})
 			}
 		}
 	}
