--- a/internal/fleet/zones.go
+++ b/internal/fleet/zones.go
@@ -14,7 +14,7 @@
 // A gang apart needs room in two zones at once, and one in one zone all of it there.
 // Rented where they were cheapest, machines came up in the wrong zone, stood idle, were
 // returned, and the next were rented, for ever (random day 300683: a gang apart, whose
-// part had lost the last machine of a zone, waited for 370 s beside 31 rentals). A gang
+// part had lost the last machine of a zone, waited for 370 s beside 37 rentals). A gang
 // in one zone nearly always has its machines there, so only one that has waited for as
 // long as machines may boot is looked after in this way.
 type zones struct {
