Part: a gang does not count machines in doubt as its room, and tries them when late

No single task came after that to try it with; gangs are never tried there; and as it counted as room for the gang, none was lent or rented.

--- a/internal/part/fault.go
+++ b/internal/part/fault.go
@@ -127,6 +127,15 @@
 	}
 }
 
+// untried: a gang is not to be what a machine in doubt is tried with, unless it should
+// have begun, and nothing has failed there for a lease: perhaps nothing else comes that
+// could be tried. (Random day 5110: a machine that had been faulty for 15 s was in doubt
+// for ever, as no single task came any more, and a gang, for which it counted as room,
+// waited for ever beside free machines of other parts.)
+func (p *Part) untried(m *Machine, w *Work, now time.Duration) bool {
+	return m.sick && w.gang() && (now-m.failedAt < p.lease() || p.toBegin(w, p.h.Wall()-w.Rec.At) <= 0)
+}
+
 // onTrial: nothing more is to start on a machine that is likely sick, as a task is
 // being tried there or the next try is not due.
 func (m *Machine) onTrial(now time.Duration) bool {
--- a/internal/part/moves.go
+++ b/internal/part/moves.go
@@ -86,7 +86,7 @@
 func (p *Part) short(w *Work, now time.Duration) int {
 	j := &w.Rec.Job
 	return p.lacks(j, func(m *Machine) int {
-		if m.retiring != "" || m.Deaf() || now-m.LastReport > 3*p.report() || m.lent > now {
+		if m.retiring != "" || m.Deaf() || now-m.LastReport > 3*p.report() || m.lent > now || p.untried(m, w, now) {
 			return 0
 		}
 		return p.h.TypeOf(m.Type).Fits(j, j.Tasks)
@@ -108,7 +108,7 @@
 	}
 	return p.lacks(j, func(m *Machine) int {
 		r := p.roomOf(m, now)
-		if r == nil {
+		if r == nil || p.untried(m, w, now) {
 			return 0
 		}
 		return max(0, (&wire.MachineType{Cores: r.cores, GPUs: r.gpus, Memory: r.mem}).Fits(j, j.Tasks))
--- a/internal/part/pass.go
+++ b/internal/part/pass.go
@@ -110,7 +110,7 @@
 	fits := make([]*room, 0, len(rooms))
 	total := 0
 	for _, r := range rooms {
-		if r.fits(j) && !(r.m.sick && w.gang()) && now >= w.avoid[r.m.ID] && p.allowed(r.m, j) && p.backfills(r, j, now) && !p.kept(r, w, now) {
+		if r.fits(j) && !p.untried(r.m, w, now) && now >= w.avoid[r.m.ID] && p.allowed(r.m, j) && p.backfills(r, j, now) && !p.kept(r, w, now) {
 			fits = append(fits, r)
 			total++
 		}
--- a/internal/standin/random_test.go
+++ b/internal/standin/random_test.go
@@ -420,6 +420,8 @@
 	for _, seed := range []int{
 		200018, 200229, 200244, 200352, 200586, 200590, 200681, // jobs of a team whose part has no machine left
 		203025, // a gang that was stopped twice before its launch
+		5110,   // a gang and a machine that is in doubt for ever
+		300683, // a gang apart, and machines that are rented in the wrong zone
 		200526, // of the judge: an unaccepted job's repetition without a field gets 400
 	} {
 		if _, script, wrong := play(seed); len(wrong) > 0 {
