--- a/internal/standin/echo_test.go
+++ b/internal/standin/echo_test.go
@@ -178,3 +178,136 @@
 		t.Errorf("%d chunks moved and were called off, too few to tell", met)
 	}
 }
+
+// lateWrites has a share of the transactions that change something of a kind get no
+// answer and be carried out least to most seconds later.
+func (s *Sim) lateWrites(from, to, share, least, most float64, is func(o []wire.Op) bool) (met *int) {
+	met = new(int)
+	s.Late = append(s.Late, func(_, path string, body []byte) (time.Duration, bool) {
+		var x wire.Txn
+		if now := s.now.Seconds(); path != "/multi" || now < from || now > to || wire.Decode(body, &x) != nil || !is(x.Apply) || s.rnd.Float64() >= share {
+			return 0, false
+		}
+		*met++
+		return time.Duration((least + (most-least)*s.rnd.Float64()) * float64(time.Second)), true
+	})
+	return met
+}
+
+// A chunk's move gets no answer and is carried out seconds later. Nothing of the chunk may
+// start where it was until it is known what became of the move: given up as one that was
+// not made, it came true after its tasks had started there, and they started again in the
+// other part.
+func TestMovesCarriedOutLate(t *testing.T) {
+	met := 0
+	for seed := uint64(1420); seed < 1432; seed++ {
+		s := New(seed)
+		s.API()
+		fleet(s, 9, 0)
+		s.Overruns = map[string]float64{"long": 6}
+		for i := range 24 {
+			s.Submit(5+float64(i)/2, Spec(fmt.Sprintf("wk-%d", i+1), wire.Array, 4+i%3, 1, 6, func(x *wire.Submission) {
+				if i%3 == 0 {
+					x.Trade = text("long")
+				}
+			}))
+		}
+		moved := s.lateWrites(6, 60, 0.8, 2, 12, func(o []wire.Op) bool {
+			return len(o) > 0 && strings.HasPrefix(o[0].Put, part.JobKey("")) && s.State.data[o[0].Put].Stamp > 0
+		})
+		s.Start()
+		s.Run(150)
+		met += *moved
+		for _, b := range s.Broken {
+			t.Errorf("seed %d: rule broken: %s", seed, b)
+		}
+		for id := range s.jobs {
+			told(t, s, wire.Done, id)
+		}
+	}
+	if met < 20 {
+		t.Errorf("%d moves were late, too few to tell", met)
+	}
+}
+
+// The first record of where a job may be gets no answer, a copy of it does, and newer ones
+// follow that name a machine which has come up since; then the first is carried out after
+// all, the owner ends, and that machine reaches nobody while others have room. The older
+// record must not take the newer one's place: what runs there would be started again.
+func TestRecordsCarriedOutLate(t *testing.T) {
+	met := 0
+	for seed := uint64(1440); seed < 1446; seed++ {
+		s := New(seed)
+		s.API()
+		fleet(s, 3, 0)
+		s.Submit(5, Spec("wk-1", wire.Array, 14, 1, 60, nil))
+		late := s.lateWrites(5, 6.5, 1, 9, 9, func(o []wire.Op) bool { return puts(o, "a/p/wk-1") })
+		var w *Worker
+		s.At(7, func() { w = s.AddWorker("small", "a", false) })
+		s.At(16.5, func() {
+			if len(w.tasks) == 0 {
+				t.Fatalf("seed %d: nothing runs on the new machine", seed)
+			}
+			s.Trace("%s is out of reach", w.id)
+			for _, p := range s.links(w) {
+				s.cut(p[0], p[1])
+			}
+			for _, n := range s.all {
+				s.Nodes[n].Crash()
+				s.after(time.Second, s.Nodes[n].Start)
+			}
+			for range 6 { // room in each part
+				s.AddWorker("small", "a", false)
+			}
+			s.after(40*time.Second, func() {
+				for _, p := range s.links(w) {
+					s.heal(p[0], p[1])
+				}
+			})
+		})
+		s.Start()
+		s.Run(600)
+		met += *late
+		for _, b := range s.Broken {
+			t.Errorf("seed %d: rule broken: %s", seed, b)
+		}
+		told(t, s, wire.Done, "wk-1")
+	}
+	if met == 0 {
+		t.Error("no record was late")
+	}
+}
+
+// A cancellation meets the end of the job's last task, gets no answer and is carried out
+// seconds later, when users have been told that the job is done: it stays so.
+func TestCancellationsCarriedOutLate(t *testing.T) {
+	ends := map[string]int{}
+	for i := range 40 {
+		s := New(uint64(1460 + i))
+		s.API()
+		fleet(s, 3, 0)
+		sub := Spec("wk-1", wire.Array, 2, 1, 5, nil)
+		s.Submit(5, sub)
+		late := s.lateWrites(6, 40, 1, 1, 4, func(o []wire.Op) bool {
+			var f part.Final
+			return puts(o, "d/") && wire.Decode(o[0].Value, &f) == nil && f.Status == wire.Withdrawn
+		})
+		s.OnEnd = func(string) { // while its end is being stored, and before and after
+			s.after(time.Duration(i)*2*time.Millisecond, func() { s.again(s.all[i%3], "cancel", sub) })
+		}
+		for k := range 40 {
+			s.At(12+float64(k)/4, func() { s.again(s.all[k%3], "ask", sub) })
+		}
+		s.Start()
+		s.Run(40)
+		for _, b := range s.Broken {
+			t.Errorf("%d ms after the end: rule broken: %s", 2*i, b)
+		}
+		if *late > 0 {
+			ends[s.Told("wk-1")]++
+		}
+	}
+	if ends[wire.Done] < 3 {
+		t.Errorf("ends %v of cancellations that were late: the meeting was not met", ends)
+	}
+}
