--- a/internal/standin/random_test.go
+++ b/internal/standin/random_test.go
@@ -439,3 +439,13 @@
 
 // And with those of the users' letter that came later.
 func TestRandomEncounters(t *testing.T) { randomDays(t, *firstDay+encounterDays) }
+
+// An array that has started in a part stays there, however few machines that has, though
+// others have room (day 10526: one machine for 16 tasks, beside idle ones that go back).
+// Known red: what has started does not move, and machines are lent to gangs and to teams
+// with a limit only.
+func TestStartedArrayBesideRoom(t *testing.T) {
+	if _, script, wrong := play(10526); len(wrong) > 0 {
+		t.Errorf("%s\n  with %s", strings.Join(wrong, "; "), strings.Join(script, ", "))
+	}
+}
