Lending: the rest of an array that has started is lent idle machines

Cause: what has started in a part does not move, and machines were lent to gangs and teams with a limit only.

Change: for an array older than a quarter of [score] begin that has started and waits, the leader asks for one empty machine of a part with nothing queued, in the array's zone if it is bound to one.

--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -32,12 +32,17 @@
 	}
 }
 
+// limited: its team has a limit, so that all of it stays in one part.
+func (n *Node) limited(j *wire.Job) bool {
+	t := n.s.Team(j.Team)
+	return t != nil && t.Limited()
+}
+
 // choose ranks a job and gives each of its chunks a part.
 func (n *Node) choose(j *wire.Job) (rank, chunk int, parts []int) {
 	rank = n.ranker.Rank(j)
 	np := len(n.names)
-	team := n.s.Team(j.Team)
-	limited := team != nil && team.Limited()
+	limited := n.limited(j)
 	chunks := 1
 	if j.Shape == wire.Array && !j.OneZone && !j.Spread && !limited {
 		d := &n.s.Dispatch
--- a/internal/node/lend.go
+++ b/internal/node/lend.go
@@ -16,13 +16,19 @@
 func (n *Node) lend() {
 	statuses := n.statuses()
 	n.short = nil
-	var oldest *mesh.Gap
+	var oldest, stuck *mesh.Gap
 	at := func(g *mesh.Gap) float64 { return n.jobs[g.Job].At }
 	for _, s := range statuses {
 		for _, g := range s.Gaps {
 			if n.jobs[g.Job] == nil || g.Short <= 0 && g.Late <= 0 {
 				continue
 			}
+			if g.Short <= 0 && n.jobs[g.Job].Job.Shape == wire.Array && !n.limited(&n.jobs[g.Job].Job) {
+				if stuck == nil || at(g) < at(stuck) {
+					stuck = g
+				}
+				continue
+			}
 			if g.Short > 0 {
 				n.short = append(n.short, g)
 			}
@@ -37,6 +43,9 @@
 		}
 	}
 	if oldest == nil {
+		if stuck != nil {
+			n.lendIdle(stuck, statuses)
+		}
 		return
 	}
 	if oldest.Short <= 0 { // what comes up meanwhile is for it, too
@@ -45,6 +54,33 @@
 	n.lendFor(&n.jobs[oldest.Job].Job, oldest, int(max(oldest.Short, oldest.Late)), statuses, n.Wall()-at(oldest) > n.s.Score.Begin/4)
 }
 
+// lendIdle asks for one machine for the rest of an array that has started: an empty one
+// of a part in which nothing is queued.
+func (n *Node) lendIdle(g *mesh.Gap, statuses []*mesh.Status) {
+	j := &n.jobs[g.Job].Job
+	for _, s := range statuses {
+		for _, p := range s.Parts {
+			if p.Part == g.Part || len(p.Load) == 0 || p.Load[0] > 0 {
+				continue
+			}
+			for _, r := range p.Free {
+				if r.Empty && (g.Zone == "" || g.Zone == r.Zone) && part.Allows(j, n.types[r.Type], r.Zone, r.Spot) {
+					n.askToLend(int(p.Part), &mesh.Lend{Machine: r.Machine, To: g.Part})
+					return
+				}
+			}
+		}
+	}
+}
+
+func (n *Node) askToLend(of int, l *mesh.Lend) {
+	if o := n.book.Owner(lead.PartKey(of)); o == n.s.Name {
+		n.lendOut(l)
+	} else if o != "" {
+		n.w.Send(o, &mesh.Envelope{Body: &mesh.Envelope_Lend{Lend: l}})
+	}
+}
+
 // lendFor asks owners for machines for a gang; full: for such as have nothing free,
 // too, which take nothing new until they are empty. (Where small tasks fill whole
 // machines none is ever told as free, and a gang of five waited until they stopped
@@ -87,12 +123,7 @@
 		k := n.types[typ].Fits(j, j.Tasks)
 		there[z] += k
 		left -= k
-		l := &mesh.Lend{Machine: id, To: g.Part}
-		if o := n.book.Owner(lead.PartKey(of)); o == n.s.Name {
-			n.lendOut(l)
-		} else if o != "" {
-			n.w.Send(o, &mesh.Envelope{Body: &mesh.Envelope_Lend{Lend: l}})
-		}
+		n.askToLend(of, &mesh.Lend{Machine: id, To: g.Part})
 	}
 	for _, empty := range []bool{true, false} {
 		for _, s := range statuses {
--- a/internal/part/moves.go
+++ b/internal/part/moves.go
@@ -37,7 +37,7 @@
 			}
 			gaps = append(gaps, &mesh.Gap{StartsS: starts,
 				Job: w.Rec.Job.ID, Tasks: int32(w.idle), WaitedS: (now - w.queuedAt).Seconds(),
-				Part: int32(p.K), Short: int32(p.short(w, now)), Late: int32(p.late(w, now))})
+				Part: int32(p.K), Short: int32(p.short(w, now)), Late: int32(p.late(w, now)), Zone: w.zoneOf()})
 		}
 	}
 	out := &mesh.PartStatus{Part: int32(p.K), Load: s.Load}
@@ -100,6 +100,9 @@
 // machines, while later ones began at once in other parts.)
 func (p *Part) late(w *Work, now time.Duration) int {
 	j := &w.Rec.Job
+	if p.stuck(w) {
+		return 1
+	}
 	if s := &p.h.Settings().Score; p.together(j) == 0 || p.toBegin(w, p.h.Wall()-w.Rec.At) < s.BeginWeight {
 		return 0
 	}
@@ -115,6 +118,26 @@
 	})
 }
 
+// stuck: some of an array has waited for long in a part in which another of its tasks has
+// started, so that the rest cannot move to where room is. The leader lends the part a machine
+// that is idle in one where nothing waits. (Random day 10526: 16 tasks in a part with one
+// machine, for 114 s beside machines of other parts that went back as idle.)
+func (p *Part) stuck(w *Work) bool {
+	j := &w.Rec.Job
+	return j.Shape == wire.Array && !j.Spread && p.together(j) == 0 && w.nplaced > 0 && w.idle > 0 && !w.mistaken && !w.borrowed() &&
+		p.h.Wall()-w.Rec.At > p.h.Settings().Score.Begin/4
+}
+
+// zoneOf is the zone in which a job in one zone is; "": it may be in any.
+func (w *Work) zoneOf() string {
+	if w.Rec.Job.OneZone {
+		for _, pl := range w.runs {
+			return pl.m.Zone
+		}
+	}
+	return ""
+}
+
 // lacks counts the tasks that need room here beyond what there is room for on the part's
 // machines, all zones together or each by itself, as it may be placed.
 func (p *Part) lacks(j *wire.Job, room func(m *Machine) int) int {
--- a/internal/standin/random_test.go
+++ b/internal/standin/random_test.go
@@ -427,6 +427,7 @@
 	for _, seed := range []int{
 		200018, 200229, 200244, 200352, 200586, 200590, 200681, // jobs of a team whose part has no machine left
 		203025, // a gang that was stopped twice before its launch
+		20046,  // the rest of an array in one zone, in a part without more machines there
 		5110,   // a gang and a machine that is in doubt for ever
 		300683, // a gang apart, and machines that are rented in the wrong zone
 		200526, // of the judge: an unaccepted job's repetition without a field gets 400
@@ -440,10 +441,8 @@
 // And with those of the users' letter that came later.
 func TestRandomEncounters(t *testing.T) { randomDays(t, *firstDay+encounterDays) }
 
-// An array that has started in a part stays there, however few machines that has, though
-// others have room (day 10526: one machine for 16 tasks, beside idle ones that go back).
-// Known red: what has started does not move, and machines are lent to gangs and to teams
-// with a limit only.
+// An array that had started in a part stayed there, however few machines that had, though
+// others had room (day 10526: one machine for 16 tasks, beside idle ones that went back).
 func TestStartedArrayBesideRoom(t *testing.T) {
 	if _, script, wrong := play(10526); len(wrong) > 0 {
 		t.Errorf("%s\n  with %s", strings.Join(wrong, "; "), strings.Join(script, ", "))
