--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -57,9 +57,10 @@
 	Why    string
 }
 
+// Error says the status and the reason.
 func (r *Refused) Error() string { return fmt.Sprintf("refused with %d: %s", r.Status, r.Why) }
 
-// ErrNone: nothing is known of the job.
+// ErrNone tells that nothing is known of the job.
 var ErrNone = errors.New("no such job")
 
 // ask repeats a request until it is answered for good: every status but 200,
--- a/internal/federation/desk.go
+++ b/internal/federation/desk.go
@@ -161,7 +161,7 @@
 	return d
 }
 
-// Reserved: ids that belong to borrowed jobs are not for users.
+// Reserved tells whether an id belongs to a borrowed job; such ids are not for users.
 func Reserved(id string) bool { return strings.HasPrefix(id, loan.Prefix) }
 
 // Changed takes a live job's record; nil: it is over.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -487,6 +487,7 @@
 	})
 }
 
+// String says in one line how much is remembered and how many look-ups wait.
 func (in *Intake) String() string {
 	return fmt.Sprintf("%d ended jobs in memory, %d look-ups wait", in.finals.Len(), len(in.asked))
 }
--- a/internal/node/federation.go
+++ b/internal/node/federation.go
@@ -69,8 +69,14 @@
 	}
 }
 
-func (n *Node) Chance() *rand.Rand   { return n.w.Rand() }
-func (n *Node) Leads() bool          { return n.leads() }
+// Chance is the controller's source of randomness.
+func (n *Node) Chance() *rand.Rand { return n.w.Rand() }
+
+// Leads tells whether this controller is the leader.
+func (n *Node) Leads() bool { return n.leads() }
+
+// LeadGuard is the condition under which a transaction holds only while this
+// controller leads.
 func (n *Node) LeadGuard() wire.Cond { return n.book.Guard(lead.Leader) }
 
 // Progress is what the ledger says of a job's tasks, here and at partners.
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -11,22 +11,29 @@
 
 // This file is what the slices ask of their controller.
 
+// Now is the steady clock.
 func (n *Node) Now() time.Duration { return n.w.Now() }
 
+// Wall is the time of day, in seconds.
 func (n *Node) Wall() float64 { return float64(n.w.Wall().UnixMilli()) / 1000 }
 
+// Ledger is the controller's view of the state service.
 func (n *Node) Ledger() *ledger.Ledger { return n.l }
 
+// Settings are those of the platform and of the operators.
 func (n *Node) Settings() *settings.Settings { return n.s }
 
+// Types are the machine types that the cloud rents, by name.
 func (n *Node) Types() map[string]*wire.MachineType { return n.types }
 
+// TypeOf is one of them; nil: it is not known.
 func (n *Node) TypeOf(name string) *wire.MachineType { return n.types[name] }
 
+// Job is a live job's record in the cache; nil: there is none that can be read.
 func (n *Node) Job(id string) *part.JobRecord { return n.jobs[id] }
 
-// MayLaunch: with an old cache a job could be started that its user was told
-// is cancelled.
+// MayLaunch tells whether the cache is recent enough for tasks to be started. With
+// an older one a job could be started that its user was told is cancelled.
 func (n *Node) MayLaunch() bool {
 	return n.l.Loaded() && n.l.Grant.Valid() && n.l.Age() < n.launchAge()
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -90,10 +90,16 @@
 	}
 }
 
+// Now is the steady clock, from the start of the process on.
 func (l *Loop) Now() time.Duration { return time.Since(l.start) }
-func (l *Loop) Wall() time.Time    { return time.Now() }
-func (l *Loop) Rand() *rand.Rand   { return l.rnd }
 
+// Wall is the time of day.
+func (l *Loop) Wall() time.Time { return time.Now() }
+
+// Rand is the owner's source of randomness.
+func (l *Loop) Rand() *rand.Rand { return l.rnd }
+
+// After runs f on the owner's goroutine, no sooner than after d.
 func (l *Loop) After(d time.Duration, f func()) {
 	if d <= 0 && len(l.queue) < waiting/2 {
 		// Called on the owner's goroutine: there is room for sure.
@@ -106,8 +112,11 @@
 	time.AfterFunc(max(d, 0), func() { l.queue <- f })
 }
 
+// Send gives a message for another controller to the mesh, which may drop it.
 func (l *Loop) Send(member string, e *mesh.Envelope) { l.mesh.Send(member, e) }
 
+// Call makes a request over HTTP; done runs on the owner's goroutine, with status 0
+// if there is no answer in time.
 func (l *Loop) Call(addr, method, path string, in, out any, timeout time.Duration, done func(int)) {
 	select {
 	case l.calls <- struct{}{}:
--- a/internal/node/rent.go
+++ b/internal/node/rent.go
@@ -63,7 +63,7 @@
 	return cores / float64(len(n.names)), in
 }
 
-// Wanted: some queued work, of whatever part, could run on the machine; spot:
+// Wanted tells whether some queued work, of whatever part, could run on the machine; spot:
 // also such as a spot machine would do.
 func (n *Node) Wanted(m *part.Machine, spot bool) bool {
 	for _, s := range n.statuses() {
@@ -100,7 +100,7 @@
 // Large lists those shapes.
 func (n *Node) Large() map[string]part.Large { return n.large }
 
-// Spare: of the same type and kind as many whole machines as the job takes
+// Spare tells whether of the same type and kind as many whole machines as the job takes
 // have lower names (empty, or with what the job may stop without loss), in the
 // zone with most of them if it may only be in one.
 func (n *Node) Spare(m *part.Machine, j *wire.Job) bool {
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -18,11 +18,14 @@
 	n.intake.Submit(body, queued, reply)
 }
 
+// Poll answers GET /v2/runs/{id}.
 func (n *Node) Poll(id string, reply intake.Reply) { n.intake.Poll(id, reply) }
 
+// Abort answers POST /v2/runs/{id}/abort.
 func (n *Node) Abort(id string, reply intake.Reply) { n.intake.Abort(id, reply) }
 
-// Reserved: with partners, some ids belong to what is borrowed from them.
+// Reserved tells whether no user may use an id: with partners, some belong to
+// what is borrowed from them.
 func (n *Node) Reserved(id string) bool { return n.desk != nil && federation.Reserved(id) }
 
 // Up tells the load balancer whether to send users here. A node that the
--- a/internal/nomad/lang.go
+++ b/internal/nomad/lang.go
@@ -55,6 +55,7 @@
 // Problems are all that is wrong with a file, a line or more each.
 type Problems []string
 
+// Error lists them, a line or more each.
 func (p Problems) Error() string { return strings.Join(p, "\n") }
 
 // mostProblems are told of one file.
--- a/internal/part/job.go
+++ b/internal/part/job.go
@@ -111,8 +111,10 @@
 	Done [][2]int `cbor:"d,omitempty"`
 }
 
-// Keys of the ledger. Finals are outside the cached root.
-func JobKey(id string) string   { return "a/j/" + id }
+// JobKey is where the state service keeps a live job's record.
+func JobKey(id string) string { return "a/j/" + id }
+
+// FinalKey is where it keeps a job's end, outside of what controllers cache.
 func FinalKey(id string) string { return "d/" + id }
 
 // Chunks is the number of chunks of a job.
--- a/internal/part/loan.go
+++ b/internal/part/loan.go
@@ -192,7 +192,7 @@
 	return now < p.since+world.Seconds(p.h.Settings().Deployment.Workers.Lease)/10
 }
 
-// Unanswered: the machine's report is better answered a little later.
+// Unanswered tells whether the machine's report is better answered a little later.
 func (p *Part) Unanswered(m *Machine, now time.Duration) bool {
 	return p.borrowed > 0 && p.young(now) && m.Unpermitted(now)
 }
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -192,7 +192,7 @@
 	}
 }
 
-// CaughtUp: the cache has passed another revision.
+// CaughtUp is told that the cache has passed another revision.
 func (p *Part) CaughtUp() {
 	if p.unseen == 0 {
 		return
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -192,70 +192,70 @@
 }
 
 // Trace notes something for people to read.
-func (s *Net) Trace(format string, a ...any) {
-	line := fmt.Sprintf("%8.2f ", s.now.Seconds()) + fmt.Sprintf(format, a...)
-	if s.live != nil && s.live.Log != nil {
-		fmt.Fprintln(s.live.Log, line)
+func (n *Net) Trace(format string, a ...any) {
+	line := fmt.Sprintf("%8.2f ", n.now.Seconds()) + fmt.Sprintf(format, a...)
+	if n.live != nil && n.live.Log != nil {
+		fmt.Fprintln(n.live.Log, line)
 		return
 	}
-	s.Traced = append(s.Traced, line)
+	n.Traced = append(n.Traced, line)
 }
 
-func (s *Net) broken(format string, a ...any) {
-	s.Broken = append(s.Broken, fmt.Sprintf(format, a...))
-	s.Trace("BROKEN "+format, a...)
+func (n *Net) broken(format string, a ...any) {
+	n.Broken = append(n.Broken, fmt.Sprintf(format, a...))
+	n.Trace("BROKEN "+format, a...)
 }
 
-func (s *Net) at(t time.Duration, f func()) {
-	s.n++
-	heap.Push(&s.queue, event{t, s.n, f})
+func (n *Net) at(t time.Duration, f func()) {
+	n.n++
+	heap.Push(&n.queue, event{t, n.n, f})
 }
 
-func (s *Net) after(d time.Duration, f func()) { s.at(s.now+max(d, 0), f) }
+func (n *Net) after(d time.Duration, f func()) { n.at(n.now+max(d, 0), f) }
 
 // At does something at a time given in seconds.
-func (s *Net) At(sec float64, f func()) { s.at(time.Duration(sec*float64(time.Second)), f) }
+func (n *Net) At(sec float64, f func()) { n.at(time.Duration(sec*float64(time.Second)), f) }
 
 // Run plays until a time given in seconds.
-func (s *Net) Run(until float64) {
+func (n *Net) Run(until float64) {
 	end := time.Duration(until * float64(time.Second))
-	for len(s.queue) > 0 && s.queue[0].at <= end {
-		e := heap.Pop(&s.queue).(event)
-		s.now = e.at
+	for len(n.queue) > 0 && n.queue[0].at <= end {
+		e := heap.Pop(&n.queue).(event)
+		n.now = e.at
 		e.f()
 	}
-	s.now = end
+	n.now = end
 }
 
 // Cut stops traffic between two addresses; what is sent meanwhile is held
 // back, and delivered by Heal.
-func (s *Net) Cut(a, b string) {
-	s.Trace("cut %s - %s", a, b)
-	s.cut(a, b)
+func (n *Net) Cut(a, b string) {
+	n.Trace("cut %s - %s", a, b)
+	n.cut(a, b)
 }
 
-func (s *Net) cut(a, b string) { s.cuts[a+"|"+b], s.cuts[b+"|"+a] = true, true }
+func (n *Net) cut(a, b string) { n.cuts[a+"|"+b], n.cuts[b+"|"+a] = true, true }
 
 // Heal ends a cut.
-func (s *Net) Heal(a, b string) {
-	s.Trace("heal %s - %s", a, b)
-	s.heal(a, b)
+func (n *Net) Heal(a, b string) {
+	n.Trace("heal %s - %s", a, b)
+	n.heal(a, b)
 }
 
-func (s *Net) heal(a, b string) {
+func (n *Net) heal(a, b string) {
 	for _, k := range []string{a + "|" + b, b + "|" + a} {
-		delete(s.cuts, k)
-		for _, f := range s.held[k] {
-			s.after(s.latency(), f)
+		delete(n.cuts, k)
+		for _, f := range n.held[k] {
+			n.after(n.latency(), f)
 		}
-		delete(s.held, k)
+		delete(n.held, k)
 	}
 }
 
 // Deafen lets nothing reach a host while what it sends arrives, or ends that.
-func (s *Net) Deafen(addr string, on bool) {
-	s.Trace("%s hears: %v", addr, !on)
-	s.deaf[addr] = on
+func (n *Net) Deafen(addr string, on bool) {
+	n.Trace("%s hears: %v", addr, !on)
+	n.deaf[addr] = on
 }
 
 // Isolate cuts a controller off from the state service and the other
@@ -310,34 +310,34 @@
 }
 
 // Refuse lets a service answer one host 503, or ends that.
-func (s *Net) Refuse(from, to string, on bool) {
-	s.Trace("%s refuses %s: %v", to, from, on)
-	s.refuse[from+"|"+to] = on
+func (n *Net) Refuse(from, to string, on bool) {
+	n.Trace("%s refuses %s: %v", to, from, on)
+	n.refuse[from+"|"+to] = on
 }
 
-func (s *Net) latency() time.Duration {
-	return time.Millisecond + time.Duration(s.rnd.IntN(2000))*time.Microsecond
+func (n *Net) latency() time.Duration {
+	return time.Millisecond + time.Duration(n.rnd.IntN(2000))*time.Microsecond
 }
 
 // deliver carries one message.
-func (s *Net) deliver(from, to string, f func()) {
-	if s.deaf[to] {
+func (n *Net) deliver(from, to string, f func()) {
+	if n.deaf[to] {
 		return
 	}
-	if k := from + "|" + to; s.cuts[k] {
-		s.held[k] = append(s.held[k], f)
+	if k := from + "|" + to; n.cuts[k] {
+		n.held[k] = append(n.held[k], f)
 		return
 	}
-	h, takes := s.hosts[from], s.latency()
-	if s.Lag != nil {
-		takes += s.Lag(from, to)
+	h, takes := n.hosts[from], n.latency()
+	if n.Lag != nil {
+		takes += n.Lag(from, to)
 	}
 	if h == nil {
-		s.after(takes, f)
+		n.after(takes, f)
 		return
 	}
 	life := h.life
-	s.after(takes, func() {
+	n.after(takes, func() {
 		if h.frozen && h.holds { // it had not left the process yet
 			h.stuck = append(h.stuck, func() { h.step(life, f) })
 			return
@@ -347,13 +347,13 @@
 }
 
 // call is one request and its answer; done is called once, with 0 at the time-out.
-func (s *Net) call(from, to, method, path string, in, out any, timeout time.Duration, done func(int)) {
+func (n *Net) call(from, to, method, path string, in, out any, timeout time.Duration, done func(int)) {
 	var body []byte
 	if in != nil {
 		body = wire.Encode(in)
 	}
-	if s.live != nil {
-		s.live.call(to, method, path, body, timeout, func(status int, b []byte) {
+	if n.live != nil {
+		n.live.call(to, method, path, body, timeout, func(status int, b []byte) {
 			if out != nil && len(b) > 0 && wire.Decode(b, out) != nil {
 				status = 0
 			}
@@ -361,42 +361,42 @@
 		})
 		return
 	}
-	if s.OnCall != nil {
-		s.OnCall(from, method, path)
+	if n.OnCall != nil {
+		n.OnCall(from, method, path)
 	}
 	over, mute := false, false
-	s.after(timeout, func() {
+	n.after(timeout, func() {
 		if !over {
 			over = true
 			done(0)
 		}
 	})
 	arrive := func() {
-		srv := s.serve[to]
+		srv := n.serve[to]
 		if srv == nil {
 			return // silent, like a machine without power
 		}
-		if s.refuse[from+"|"+to] {
+		if n.refuse[from+"|"+to] {
 			srv = func(_, _ string, _ []byte, reply func(int, any)) { reply(503, nil) }
 		}
 		var answered func(status int, answer any)
 		answered = func(status int, answer any) {
-			if strings.HasPrefix(path, "/changes") && status == 200 && (s.refuse[from+"|"+to] || s.down[to]) {
-				s.after(10*time.Millisecond, func() { answered(status, answer) })
+			if strings.HasPrefix(path, "/changes") && status == 200 && (n.refuse[from+"|"+to] || n.down[to]) {
+				n.after(10*time.Millisecond, func() { answered(status, answer) })
 				return
 			}
 			var b []byte
 			if answer != nil {
 				b = wire.Encode(answer)
 			}
-			s.deliver(to, from, func() {
+			n.deliver(to, from, func() {
 				if over || mute {
 					return
 				}
 				over = true
 				if out != nil && len(b) > 0 {
 					if err := wire.Decode(b, out); err != nil {
-						s.broken("answer of %s%s not understood: %v", to, path, err)
+						n.broken("answer of %s%s not understood: %v", to, path, err)
 					}
 				}
 				done(status)
@@ -404,26 +404,26 @@
 		}
 		srv(method, path, body, answered)
 	}
-	for _, late := range s.Late {
+	for _, late := range n.Late {
 		if d, ok := late(from, path, body); ok {
 			mute = true
-			s.after(d, arrive)
+			n.after(d, arrive)
 			return
 		}
 	}
-	s.deliver(from, to, arrive)
-	if s.Copies != nil && path == "/v1/report" {
-		for _, d := range s.Copies() {
-			s.after(d, func() {
-				if srv := s.serve[to]; srv != nil {
+	n.deliver(from, to, arrive)
+	if n.Copies != nil && path == "/v1/report" {
+		for _, d := range n.Copies() {
+			n.after(d, func() {
+				if srv := n.serve[to]; srv != nil {
 					srv(method, path, body, func(int, any) {})
 				}
 			})
 		}
 	}
-	if s.Twice != nil {
-		if d := s.Twice(to); d > 0 {
-			s.after(d, arrive)
+	if n.Twice != nil {
+		if d := n.Twice(to); d > 0 {
+			n.after(d, arrive)
 		}
 	}
 }
@@ -564,4 +564,4 @@
 }
 
 // Text is the whole trace.
-func (s *Net) Text() string { return strings.Join(s.Traced, "\n") + "\n" }
+func (n *Net) Text() string { return strings.Join(n.Traced, "\n") + "\n" }
--- a/internal/worker/hearing.go
+++ b/internal/worker/hearing.go
@@ -101,13 +101,13 @@
 	}
 }
 
-// Reborn: the machine is back under its name, with a new life of its worker that
-// counts sessions and messages from the beginning and has seen no token. (Asked and
-// told by GET /status, whose answer is newer than the question; a late copy of an
+// Reborn is told that the machine is back under its name, with a new life of its worker
+// that counts sessions and messages from the beginning and has seen no token. (Asked
+// and told by GET /status, whose answer is newer than the question; a late copy of an
 // old report looks the same.) Orders of its old life that are on their way could be
-// carried out by the new one, so what may be there counts as there until a report
-// shows a token that is higher than all that were given, or for a lease from now: its
-// session may carry them out, and began before now.
+// carried out by the new one, so what may be there counts as there until a report shows
+// a token that is higher than all that were given, or for a lease from now: its session
+// may carry them out, and began before now.
 func (m *Machine) Reborn(now time.Duration) {
 	m.Token++
 	m.Base = m.Token
--- a/internal/worker/worker.go
+++ b/internal/worker/worker.go
@@ -24,6 +24,7 @@
 	Index int
 }
 
+// String writes "job/3".
 func (t Task) String() string { return t.Job + "/" + strconv.Itoa(t.Index) }
 
 // ParseTask reads "job/3".
