--- /dev/null
+++ b/internal/standin/boot_test.go
@@ -0,0 +1,90 @@
+package standin
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"curlewspool/internal/wire"
+)
+
+// New machines are up within a second and get work at once while transactions lag, and
+// the leader ends around the rental: the machine reports before the answer to the rental
+// is there, before any record of it, and to controllers that have never heard of it; a
+// rush of single tasks begins on it before its own records are stored. No task runs
+// twice, each machine is used or returned, and everything ends.
+func TestMachinesUpAtOnceWhileWritesLagAndTheLeaderEnds(t *testing.T) {
+	t.Parallel()
+	lags := map[string]func(s *Sim){
+		"late":           func(s *Sim) { s.late(8, 30, 0.5, 2, 12, "/multi") },
+		"answers lost":   func(s *Sim) { s.late(8, 30, 0.6, 0.001, 0.002, "/multi") },
+		"slow":           func(s *Sim) { s.slowAt("/multi", s.rnd, 8, 30, 1.6) },
+		"rentals unsure": func(s *Sim) { s.late(8, 30, 0.5, 0.05, 4, "/rentals"); s.late(8, 30, 0.3, 2, 9, "/multi") },
+	}
+	seed, rented := uint64(2500), 0
+	for _, lag := range slices.Sorted(maps.Keys(lags)) {
+		for _, single := range []bool{false, true} {
+			for _, after := range []float64{0.05, 0.3, 0.8, 1.5, 3, 6} { // the first rental
+				seed++
+				s := New(seed)
+				s.API()
+				s.history.Calm = 60 * time.Second
+				s.watchWaiting()
+				s.Cloud.Boots = 0.06
+				for _, z := range []string{"a", "b"} {
+					s.Cloud.Left["small/"+z+"/false"] = 5
+					s.Cloud.Left["small/"+z+"/true"] = 3
+				}
+				fleet(s, 2, 0)
+				lags[lag](s)
+				if single {
+					for _, n := range s.all {
+						s.Nodes[n].set.Dispatch.Anywhere = 0
+					}
+					for i := range 30 {
+						s.Submit(9+float64(i)/10, Spec(fmt.Sprintf("wk-s%d", i), wire.Array, 1, 1, 8, nil))
+					}
+				} else {
+					arrays(s, "wk-a", 9, 4, 10, 8)
+					s.Submit(10, Spec("wk-g", wire.Gang, 3, 4, 8, nil))
+				}
+				met := false
+				s.OnCall = func(_, method, path string) {
+					if method == "POST" && path == "/rentals" && !met {
+						met = true
+						rented++
+						s.quick(s.now.Seconds()+after, 0.2+after/2, s.leader)
+						s.quick(s.now.Seconds()+after+2, 5, s.leader)
+					}
+				}
+				s.Start()
+				s.Run(300)
+				what := fmt.Sprintf("%s, single tasks %v, the leader ends %v s after the rental (seed %d)", lag, single, after, seed)
+				for _, wrong := range s.verdict(false) {
+					t.Errorf("%s: %s", what, wrong)
+				}
+				for _, id := range s.workerIDs() { // by then idle for minutes
+					if w := s.Workers[id]; !w.gone && s.Nodes[s.leader().name].Node.Describe().Machines < len(s.upWorkers()) {
+						t.Errorf("%s: %s is known to nobody and stays", what, w.id)
+						break
+					}
+				}
+			}
+		}
+	}
+	if rented < 30 {
+		t.Errorf("machines were rented on %d days only", rented)
+	}
+}
+
+// upWorkers lists the machines that are up.
+func (s *Sim) upWorkers() (up []*Worker) {
+	for _, id := range s.workerIDs() {
+		if w := s.Workers[id]; w.up && !w.gone {
+			up = append(up, w)
+		}
+	}
+	return up
+}
--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -40,6 +40,7 @@
 	left    time.Duration // the longest such time
 	on      time.Duration // how long after its cancellation was confirmed some of it was seen on a machine
 	late    int           // its tasks that came to be on a machine after that
+	ordered int           // launches of its tasks that reached a machine after that
 }
 
 func (h *History) job(id string) *past {
--- a/internal/standin/random_test.go
+++ b/internal/standin/random_test.go
@@ -377,27 +377,39 @@
 	s.watchWaiting()
 	s.Start()
 	s.Run(400)
+	return s, script, s.verdict(seed >= meetingDays)
+}
+
+// verdict tells what was wrong with a day that is over: broken rules, what the users
+// added to them, caches that differ from the state service, and jobs that have not
+// ended. outages: a user may have given up a submission that fell into one.
+func (s *Sim) verdict(outages bool) (wrong []string) {
 	if len(s.uncurrent()) > 0 { // not for something that is on its way just now
-		s.Run(405)
+		s.Run(s.now.Seconds() + 5)
 		wrong = append(wrong, s.uncurrent()...)
 	}
 	wrong = append(wrong, s.Broken...)
 	wrong = append(wrong, s.Judge()...)
 	for id := range s.jobs {
-		if got := s.Told(id); got != wire.Done && got != wire.Withdrawn && !(seed >= meetingDays && got == "" && s.inVain[id] > 15) {
-			// (Half of a user's 31 tries fell into an outage: it may have given up.)
-			j := s.jobs[id]
-			why := ""
-			for _, n := range s.names() {
-				if x := s.Nodes[n].Node.Describe().Waiting[id]; x != "" {
-					why += n + ": " + x + "; "
-				}
-			}
-			wrong = append(wrong, fmt.Sprintf("%s is %q at the end (%s %d x %v one zone %v apart %v): %s", id, got, j.Shape, j.Tasks, j.Cores, j.OneZone, j.Spread, why))
+		got := s.Told(id)
+		gaveUp := outages && got == "" && s.inVain[id] > 15 // of 31 tries
+		if got != wire.Done && got != wire.Withdrawn && !gaveUp {
+			wrong = append(wrong, s.unfinished(id))
 		}
 	}
 	slices.Sort(wrong)
-	return s, script, wrong
+	return wrong
+}
+
+// unfinished says of a job that has not ended what it is and why it waits.
+func (s *Sim) unfinished(id string) string {
+	j, why := s.jobs[id], ""
+	for _, n := range s.names() {
+		if x := s.Nodes[n].Node.Describe().Waiting[id]; x != "" {
+			why += n + ": " + x + "; "
+		}
+	}
+	return fmt.Sprintf("%s is %q at the end (%s %d x %v one zone %v apart %v): %s", id, s.Told(id), j.Shape, j.Tasks, j.Cores, j.OneZone, j.Spread, why)
 }
 
 // Random days: whatever overlaps, no rule breaks and all is done or cancelled in
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -98,11 +98,13 @@
 	endedAt  map[string]time.Duration // when a user was told a job's end
 	finished map[worker.Task]bool
 	history  *History
-	OnEnd    func(job string)   // the last task of a job has ended
-	Mistaken map[string]bool    // jobs that fail on every machine
-	Failed   []worker.Task      // starts that ended with an error
-	Apart    map[string]float64 // by class: how many times the first one's time each further task of an array runs longer
-	Overruns map[string]float64 // by class: how many times its estimate an array's task runs; 0: about once
+	subs     map[string]*wire.Submission
+	OnEnd    func(job string)         // the last task of a job has ended
+	OnTold   func(job, status string) // a user was told something new of a job; pending: that it is accepted
+	Mistaken map[string]bool          // jobs that fail on every machine
+	Failed   []worker.Task            // starts that ended with an error
+	Apart    map[string]float64       // by class: how many times the first one's time each further task of an array runs longer
+	Overruns map[string]float64       // by class: how many times its estimate an array's task runs; 0: about once
 }
 
 // addr is a host's address; those of several clusters must not collide.
@@ -146,7 +148,7 @@
 // sim adds a cluster with nothing in it.
 func (n *Net) sim(name string) *Sim {
 	s := &Sim{Net: n, Name: name, Nodes: map[string]*Host{}, Workers: map[string]*Worker{}, jobs: map[string]*wire.Job{},
-		aborted: map[string]time.Duration{}, told: map[string]string{}, inVain: map[string]int{}, endedAt: map[string]time.Duration{}, history: &History{}}
+		aborted: map[string]time.Duration{}, told: map[string]string{}, inVain: map[string]int{}, endedAt: map[string]time.Duration{}, subs: map[string]*wire.Submission{}, history: &History{}}
 	n.sims[name] = s
 	return s
 }
--- a/internal/standin/users.go
+++ b/internal/standin/users.go
@@ -76,7 +76,7 @@
 	id := *sub.ID
 	s.history.asked(id, s.now)
 	if j, bad := sub.Check(); bad == "" && s.jobs[id] == nil {
-		s.jobs[id] = j
+		s.jobs[id], s.subs[id] = j, sub
 		s.history.job(id).may = atOnce(j, s.S.Team(j.Team))
 	}
 	s.call(s.addr("user"), s.anyNode(), "POST", "/v2/runs", sub, nil, 5*time.Second, func(status int) {
@@ -86,6 +86,7 @@
 			s.history.answered(id, s.now)
 			if s.told[id] == "" { // else a cancellation's answer came first
 				s.told[id] = wire.Pending
+				s.onTold(id, wire.Pending)
 			}
 			s.poll(id)
 		case 400, 422:
@@ -156,6 +157,13 @@
 	if status != wire.Pending {
 		s.Trace("%s is %s", id, status)
 	}
+	s.onTold(id, status)
+}
+
+func (s *Sim) onTold(id, status string) {
+	if s.OnTold != nil {
+		s.OnTold(id, status)
+	}
 }
 
 // Abort cancels at a time given in seconds.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -297,6 +297,9 @@
 	key, _ := worker.ParseTask(o.Task)
 	t := &task{Task: key, try: o.Try}
 	w.tasks = append(w.tasks, t)
+	if home, whose := w.s.origin(key); home.aborted[whose.Job] > 1 {
+		home.history.job(whose.Job).ordered++
+	}
 	job := w.s.job(key.Job)
 	refuse := func(cause string) { t.state, t.cause = wire.Ended, cause }
 	if job == nil || key.Index >= job.Tasks {
