--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -51,6 +51,8 @@
 	Late []func(from, path string, body []byte) (after time.Duration, ok bool)
 	// OnCall is told each request as it is made.
 	OnCall func(from, method, path string)
+	// OnAnswer is told the status of each answer that a host took.
+	OnAnswer func(method, path string, status int)
 	// Unsaid: the word of a cancellation does not arrive at other controllers.
 	Unsaid bool
 	// Lag is how much longer than usual a message takes; nil: none does.
@@ -401,6 +403,9 @@
 						n.broken("answer of %s%s not understood: %v", to, path, err)
 					}
 				}
+				if n.OnAnswer != nil {
+					n.OnAnswer(method, path, status)
+				}
 				done(status)
 			})
 		}
