--- a/internal/standin/boot_test.go
+++ b/internal/standin/boot_test.go
@@ -13,8 +13,9 @@
 // New machines are up within a second and get work at once while transactions lag, and
 // the leader ends around the rental: the machine reports before the answer to the rental
 // is there, before any record of it, and to controllers that have never heard of it; a
-// rush of single tasks begins on it before its own records are stored. No task runs
-// twice, each machine is used or returned, and everything ends.
+// rush of single tasks begins on it before its own records are stored. On half of the
+// days all controllers end, and half of the machines that hold work can't be asked then.
+// No task runs twice, each machine is used or returned, and everything ends.
 func TestMachinesUpAtOnceWhileWritesLagAndTheLeaderEnds(t *testing.T) {
 	t.Parallel()
 	lags := map[string]func(s *Sim){
@@ -23,10 +24,10 @@
 		"slow":           func(s *Sim) { s.slowAt("/multi", s.rnd, 8, 30, 1.6) },
 		"rentals unsure": func(s *Sim) { s.late(8, 30, 0.5, 0.05, 4, "/rentals"); s.late(8, 30, 0.3, 2, 9, "/multi") },
 	}
-	seed, rented := uint64(2500), 0
+	seed, rented, cutOff := uint64(2500), 0, 0
 	for _, lag := range slices.Sorted(maps.Keys(lags)) {
 		for _, single := range []bool{false, true} {
-			for _, after := range []float64{0.05, 0.3, 0.8, 1.5, 3, 6} { // the first rental
+			for _, after := range []float64{0, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.5, 3, 6} { // the first rental
 				seed++
 				s := New(seed)
 				s.API()
@@ -55,8 +56,21 @@
 					if method == "POST" && path == "/rentals" && !met {
 						met = true
 						rented++
-						s.quick(s.now.Seconds()+after, 0.2+after/2, s.leader)
-						s.quick(s.now.Seconds()+after+2, 5, s.leader)
+						end := s.now.Seconds() + 0.6 + after
+						if seed%2 == 0 {
+							s.quick(end, 0.2+after/2, s.leader)
+							s.quick(end+2, 5, s.leader)
+							return
+						}
+						s.At(end, func() {
+							for i, id := range s.workerIDs() {
+								if w := s.Workers[id]; i%2 == 0 && len(w.tasks) > 0 {
+									cutOff++
+									s.cutFor(s.now.Seconds(), s.now.Seconds()+25, s.links(w))
+								}
+							}
+							s.crash(s.now.Seconds(), s.now.Seconds()+0.5, s.all...)
+						})
 					}
 				}
 				s.Start()
@@ -74,8 +88,8 @@
 			}
 		}
 	}
-	if rented < 30 {
-		t.Errorf("machines were rented on %d days only", rented)
+	if rented < 40 || cutOff < 40 {
+		t.Errorf("machines were rented on %d days only, %d that held work cut off", rented, cutOff)
 	}
 }
 
