--- /dev/null
+++ b/internal/standin/combined_test.go
@@ -0,0 +1,175 @@
+package standin
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"curlewspool/internal/wire"
+)
+
+// combinedFailures are the users' second list for random days (see meetings): each is
+// two or three troubles in the same moments, and random days have others beside them.
+var combinedFailures = []meeting{
+	{"users ask all nodes within milliseconds", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		s.At(at, func() { s.askEverywhere(r, 0.2) })
+		s.At(at+4*length, func() { s.OnTold = nil })
+	}},
+	{"answers of transactions lost", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		s.late(at, at+2*length, 0.3+0.5*r.Float64(), 0.001, 0.003, "/multi")
+	}},
+	{"every team at its limit, cancellations, machines not to be had, the leader ends", func(s *Sim, r *rand.Rand, w []*Worker, at, length float64) {
+		for i, team := range []string{"blue", "green"} {
+			of := func(x *wire.Submission) { x.Crew = text(team) }
+			s.Submit(at-4+float64(i)/2, Spec("wk-l"+team, wire.Array, 3, 1, 60, of))
+			s.Submit(at-3+float64(i)/2, Spec("wk-n"+team, wire.Array, 2+r.IntN(5), 1, 3+6*r.Float64(), of))
+			s.Abort(at+r.Float64(), "wk-l"+team)
+			s.At(at-0.3, func() {
+				kinds := slices.Sorted(maps.Keys(unreachable))
+				for _, x := range s.has("wk-l" + team) {
+					if r.IntN(3) > 0 {
+						unreachable[kinds[r.IntN(len(kinds))]](s, x, s.now.Seconds(), at+3*length)
+					}
+				}
+			})
+		}
+		for range 1 + r.IntN(3) {
+			s.quick(at-1+length*r.Float64(), 6*r.Float64(), []func() *Host{s.leader, s.owner, s.largest}[r.IntN(3)])
+		}
+	}},
+	{"cancelled while work changes hands", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		ways := slices.Sorted(maps.Keys(handOvers))
+		handOvers[ways[r.IntN(len(ways))]](s, at)
+		s.Unsaid = r.IntN(2) == 0
+		for i := range 12 {
+			id := fmt.Sprintf("wk-h%d", i)
+			s.Submit(at-5+9*r.Float64(), Spec(id, wire.Array, 1+r.IntN(2), 0.5, 30, nil))
+			s.Abort(at-1+2*length*r.Float64(), id)
+		}
+	}},
+	{"new machines at once, writes late, all end, some can't be asked", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		s.late(at-1, at+length, 0.3+0.4*r.Float64(), []float64{0.001, 2}[r.IntN(2)], 8, "/multi")
+		for range 2 + r.IntN(3) {
+			s.At(at+r.Float64(), func() { s.AddWorker("small", []string{"a", "b"}[r.IntN(2)], r.IntN(2) == 0) })
+		}
+		arrays(s, "wk-n", at, 3, 4, 3+6*r.Float64())
+		s.At(at+1+2*r.Float64(), func() {
+			for _, x := range s.upWorkers() {
+				if r.IntN(3) == 0 {
+					s.cutFor(s.now.Seconds(), s.now.Seconds()+2*length, s.links(x))
+				}
+			}
+			s.crash(s.now.Seconds(), s.now.Seconds()+0.3+2*r.Float64(), s.all...)
+		})
+	}},
+	{"old reports reach the controllers as a leader begins", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		kept := s.keepReports(at-6, at, r.IntN(2) == 0)
+		s.onLeader(at, func() {
+			for _, n := range s.names() {
+				for _, body := range *kept {
+					if r.IntN(3) == 0 {
+						s.after(time.Duration(length*r.Float64()*r.Float64()*float64(time.Second)), func() {
+							s.serve[s.api(n)]("POST", "/v1/report", body, func(int, any) {})
+						})
+					}
+				}
+			}
+		})
+		s.quick(at, 0.2+2*length*r.Float64(), s.leader)
+		s.quick(at+length*r.Float64(), 0.3, s.owner)
+	}},
+	{"single tasks, a quarter cancelled", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		for i := range int(8 * length) {
+			id, t := fmt.Sprintf("wk-q%d", i), at+float64(i)/4
+			s.Submit(t, Spec(id, wire.Array, 1, 1, 2+4*r.Float64(), nil))
+			if r.IntN(4) == 0 {
+				s.Abort(t+6*r.Float64()*r.Float64(), id)
+			}
+		}
+		s.quick(at+2*length*r.Float64(), 0.3+4*r.Float64(), s.leader)
+	}},
+	{"commands of an owner that ends arrive late", func(s *Sim, r *rand.Rand, w []*Worker, at, length float64) {
+		s.At(at-1, func() {
+			n, late := s.all[r.IntN(3)], 16*r.Float64()
+			s.Late = append(s.Late, func(from, path string, _ []byte) (time.Duration, bool) {
+				return time.Duration(late * (0.5 + 0.5*s.rnd.Float64()) * float64(time.Second)), path == "/orders" && from == n && s.now.Seconds() < at+1
+			})
+			s.quick(at, 0.2+2*length*r.Float64(), func() *Host { return s.Nodes[n] })
+			for _, x := range w {
+				for _, o := range s.all {
+					if o != n && r.IntN(5) == 0 {
+						s.cutFor(at-0.5, at+length, [][2]string{{x.Addr(), o}, {x.Addr(), s.api(o)}})
+					}
+				}
+			}
+		})
+	}},
+	{"jobs that run are cancelled and their machines hang", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		lease := s.S.Deployment.Workers.Lease
+		s.At(at, func() {
+			for i := range 5 {
+				id := fmt.Sprintf("wk-%d", i+1)
+				for _, x := range s.has(id) {
+					if r.IntN(2) == 0 {
+						x.Hung = true
+						s.after(time.Duration(lease*(0.3+r.Float64())*float64(time.Second)), func() { x.Hung = false })
+					}
+				}
+				if r.IntN(2) == 0 && s.told[id] != "" {
+					s.abort(id)
+				}
+			}
+		})
+		s.quick(at+length*r.Float64(), 0.3, s.leader)
+	}},
+	{"jobs are cancelled as they end, writes late", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
+		s.late(at, at+2*length, 0.3, []float64{0.001, 1}[r.IntN(2)], 5, "/multi")
+		s.At(at, func() {
+			s.OnEnd = func(id string) {
+				if r.IntN(3) > 0 || s.told[id] == "" {
+					return
+				}
+				for range 3 {
+					what := []string{"ask", "submit", "cancel"}[r.IntN(3)]
+					s.after(time.Duration(0.4*r.Float64()*r.Float64()*float64(time.Second)), func() { s.again(s.all[r.IntN(3)], what, s.subs[id]) })
+				}
+			}
+		})
+		s.At(at+4*length, func() { s.OnEnd = nil })
+	}},
+}
+
+// Random days with the users' second list.
+func TestRandomCombinedFailures(t *testing.T) { randomDays(t, *firstDay+combinedDays) }
+
+// The list for random days holds what it says: a day of each by itself, with no other
+// trouble beside it, breaks no rule and ends.
+func TestEachCombinedFailure(t *testing.T) {
+	t.Parallel()
+	for i, c := range combinedFailures {
+		for seed := uint64(3000); seed < 3004; seed++ {
+			s := New(seed + 10*uint64(i))
+			s.API()
+			r := rand.New(rand.NewPCG(seed, 13))
+			s.history.Calm = 75 * time.Second
+			s.watchWaiting()
+			w := fleet(s, 8, 0)
+			for k := range 6 {
+				s.Submit(4+float64(k), Spec(fmt.Sprintf("wk-%d", k+1), wire.Array, 2+k, 1, 5+3*float64(k), nil))
+			}
+			c.do(s, r, w, 13, 6)
+			s.Start()
+			s.Run(220)
+			for _, wrong := range s.verdict(false) {
+				t.Errorf("%s, seed %d: %s", c.name, seed, wrong)
+			}
+			if strings.Count(s.Text(), " starts ") < 20 {
+				t.Errorf("%s, seed %d: hardly anything ran", c.name, seed)
+			}
+		}
+	}
+}
--- a/internal/standin/random_test.go
+++ b/internal/standin/random_test.go
@@ -24,6 +24,9 @@
 // echoDays: and those of echo_test.go.
 const echoDays = 300000
 
+// combinedDays: from this seed on days have those of combined_test.go, and no outage on the members' word.
+const combinedDays = 500000
+
 // vouchDays: and on these the controllers vouch for each other in an outage.
 const vouchDays = 400000
 
@@ -335,7 +338,7 @@
 		}
 	}
 	at, burst := 8+20*r.Float64(), false
-	if seed >= vouchDays {
+	if seed >= vouchDays && seed < combinedDays {
 		s.vouching()
 		script = append(script, s.outage(r, w, at+10*r.Float64()))
 	}
@@ -347,6 +350,9 @@
 		if seed >= echoDays { // half of what meets is of these
 			pool = slices.Concat(echoes, echoes, echoes, echoes, pool)
 		}
+		if seed >= combinedDays { // two of three
+			pool = slices.Concat(slices.Repeat(combinedFailures, 10), pool)
+		}
 		for range 2 + r.IntN(2) {
 			m, length := pool[r.IntN(len(pool))], 2+12*r.Float64()
 			if seen[m.name] {
