state.next: limits that are to come hold from the start, rosters are written in pieces

Need: an upgrade's state service will refuse larger values and transactions without notice.

The settings take the smaller of now and next (values, changes a transaction, rates); a section that cannot be meant is one clear line of curlewspool check. A group's machines that were written under a larger limit are taken apart in one transaction when they are to change, only while no part is owned by a controller that may be of the version before (it takes a machine that leaves a key for one that is gone), and on condition that no part changes hands. Whoever reads it takes a machine for gone only if it is under no key once the revision is passed.

--- a/internal/ledger/outcome.go
+++ b/internal/ledger/outcome.go
@@ -139,6 +139,9 @@
 			l.change(key, o.Value)
 		}
 	}
+	if l.loaded {
+		l.change("", nil)
+	}
 	for _, w := range b.writes {
 		w.Done(true, stamp)
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -18,6 +18,13 @@
 	"google.golang.org/protobuf/proto"
 )
 
+// Version says which records and messages this program understands, beside those of
+// the programs before it:
+//
+//	0  all before there were versions
+//	1  jobs that need others; a group's machines may move from one key to another
+const Version = 1
+
 // maxFrame bounds what a member may make us hold.
 const maxFrame = 1 << 20
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,7 @@
 	orphans  map[string]bool     // jobs that are over and have progress
 	over     map[string]bool     // jobs that another controller says are cancelled, which the cache still has
 	rosters  map[string][]string // machines under each key
+	leftKey  []string            // machines that left a key since the cache passed its last revision
 	enlist   enlist
 	due      map[string][]float64 // by class: deadlines that the objectives set
 	arrivals *fleet.Arrivals
@@ -146,6 +147,7 @@
 func (n *Node) changed(key string, value []byte) {
 	switch {
 	case key == "":
+		n.rostersRead()
 		n.eachPart(func(p *part.Part) { p.CaughtUp() })
 	case strings.HasPrefix(key, "a/o/"):
 		n.book.Change(key, value)
@@ -223,7 +225,7 @@
 	n.book.DropAll()
 	n.book.Forget()
 	n.jobs, n.progress, n.machines = map[string]*part.JobRecord{}, map[string]map[int]*part.Progress{}, map[string]*part.MachineRecord{}
-	n.orphans, n.rosters = map[string]bool{}, map[string][]string{}
+	n.orphans, n.rosters, n.leftKey = map[string]bool{}, map[string][]string{}, nil
 	n.over = map[string]bool{} // what is read from now on is newer than their ends
 	if n.desk != nil {
 		n.desk.Reset()
@@ -312,7 +314,7 @@
 	now := n.w.Now()
 	n.signs(now)
 	n.listen() // first: who is deaf says so at once, and is not given the part back
-	st := &mesh.Status{Ready: n.ready(), Hears: n.hearing.counts(n), Deaf: n.hearing.deaf}
+	st := &mesh.Status{Version: mesh.Version, Ready: n.ready(), Hears: n.hearing.counts(n), Deaf: n.hearing.deaf}
 	if good, _ := n.l.Good(); good > 0 {
 		st.StateAgeMs = max(1, uint32((now - good).Milliseconds()))
 	}
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"log/slog"
+	"slices"
 	"sort"
 	"strconv"
 
@@ -72,14 +73,41 @@
 	}
 	for _, id := range n.rosters[key] {
 		if !here[id] {
-			delete(n.machines, id)
-			delete(n.enlist.remove, id)
-			n.eachPart(func(p *part.Part) { p.OnMachine(id, nil) })
+			n.leftKey = append(n.leftKey, id)
 		}
 	}
 	n.rosters[key] = ids
 }
 
+// rostersRead is told when the cache has passed a revision: a machine that left a key and
+// is under none now has been taken out. (One that has moved to another key of its group
+// has not, in whatever order the changes of one transaction are told.)
+func (n *Node) rostersRead() {
+	gone := n.leftKey
+	n.leftKey = nil
+	for _, id := range gone {
+		if n.rostered(id) {
+			continue
+		}
+		delete(n.machines, id)
+		delete(n.enlist.remove, id)
+		n.eachPart(func(p *part.Part) { p.OnMachine(id, nil) })
+	}
+}
+
+// rostered tells whether a machine is under some key of its group.
+func (n *Node) rostered(id string) bool {
+	for level := 0; ; level++ {
+		ids, ok := n.rosters[rosterKey(groupOf(id), level)]
+		if !ok {
+			return false
+		}
+		if slices.Contains(ids, id) {
+			return true
+		}
+	}
+}
+
 // levels are a group's rosters as the cache has them.
 func (n *Node) levels(group int) (keys []string, rosters []part.Roster) {
 	for level := 0; ; level++ {
@@ -96,6 +124,49 @@
 	}
 }
 
+// rewrite is a change of a group's machines as conditions and changes of its keys. All
+// levels are compared, also the one that does not exist yet: the machine that is added
+// is in none of them.
+func (n *Node) rewrite(group int, change *rosterChange, nonce string) (conds []wire.Cond, ops []wire.Op) {
+	keys, rosters := n.levels(group)
+	state := &n.s.Deployment.State
+	out, moved := change.spread(rosters, int(state.ValueKB*1024*rosterShare), state.TxnOps, n.noOldOwner())
+	for level := range len(keys) + max(1, len(out)) {
+		key := rosterKey(group, level)
+		conds = append(conds, n.l.Stamp(key))
+		if r, ok := out[level]; ok {
+			r.W = nonce
+			ops = append(ops, wire.Op{Put: key, Value: wire.Encode(&r)})
+		}
+	}
+	for k := range n.names {
+		if moved { // no part changes hands meanwhile
+			conds = append(conds, n.l.Stamp(lead.PartKey(k)))
+		}
+	}
+	return conds, ops
+}
+
+// noOldOwner tells that no part is owned, as far as the cache knows, by a controller that
+// may be of a version which takes a machine that leaves a key for one that is gone: it
+// would begin elsewhere what still runs there.
+func (n *Node) noOldOwner() bool {
+	for k := range n.names {
+		o := n.book.Owner(lead.PartKey(k))
+		if o == "" || o == n.s.Name {
+			continue
+		}
+		if p := n.peers[o]; p == nil || p.status.GetVersion() < 1 {
+			return false
+		}
+	}
+	return true
+}
+
+// rosterShare of a value may be taken by machines; the rest is for what their sizes
+// leave out.
+const rosterShare = 0.8
+
 // enrol writes what waits, after a moment in which more may come.
 func (n *Node) enrol() {
 	if n.enlist.soon || len(n.enlist.add)+len(n.enlist.remove) == 0 {
@@ -127,7 +198,6 @@
 
 func (n *Node) writeGroup(g int) {
 	n.enlist.writing[g] = true
-	limit := int(n.s.Deployment.State.ValueKB * 1024 * 0.8)
 	n.l.Write(ledger.Soon, &ledger.Write{
 		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
 			var conds []wire.Cond
@@ -143,33 +213,9 @@
 					add = append(add, n.enlist.add[id])
 				}
 			}
-			keys, rosters := n.levels(g)
-			// All levels are compared: the machine is in none of them. The
-			// level that does not exist yet, too.
-			keys, rosters = append(keys, rosterKey(g, len(keys))), append(rosters, part.Roster{})
-			var ops []wire.Op
-			for i, key := range keys {
-				conds = append(conds, n.l.Stamp(key))
-				r := part.Roster{W: nonce}
-				size, changed := 0, false
-				for _, m := range rosters[i].Machines {
-					if n.enlist.remove[m.ID] {
-						changed = true
-						continue
-					}
-					size += m.Size()
-					r.Machines = append(r.Machines, m)
-				}
-				for len(add) > 0 && size+add[0].Size() <= limit {
-					size += add[0].Size()
-					r.Machines = append(r.Machines, *add[0])
-					add, changed = add[1:], true
-				}
-				if changed {
-					ops = append(ops, wire.Op{Put: key, Value: wire.Encode(&r)})
-				}
-			}
-			return conds, ops
+			change := rosterChange{add: add, remove: n.enlist.remove}
+			levels, ops := n.rewrite(g, &change, nonce)
+			return append(conds, levels...), ops
 		},
 		Done: func(ok bool, _ uint64) {
 			n.enlist.writing[g] = false
@@ -214,16 +260,15 @@
 			if !ok() {
 				return nil, nil
 			}
-			keys, rosters := n.levels(groupOf(id))
-			for i, key := range keys {
-				for k := range rosters[i].Machines {
-					if rosters[i].Machines[k].ID == id {
-						rosters[i].W, rosters[i].Machines[k].Part = nonce, to
-						return []wire.Cond{guard(), n.l.Stamp(key)}, []wire.Op{{Put: key, Value: wire.Encode(&rosters[i])}}
-					}
-				}
+			rec := n.machines[id]
+			if rec == nil {
+				return nil, nil
 			}
-			return nil, nil
+			moved := *rec
+			moved.Part = to
+			change := rosterChange{replace: map[string]part.MachineRecord{id: moved}}
+			conds, ops := n.rewrite(groupOf(id), &change, nonce)
+			return append(conds, guard()), ops
 		},
 		Done: func(applied bool, _ uint64) { done(applied) },
 	})
--- a/internal/part/job.go
+++ b/internal/part/job.go
@@ -93,6 +93,19 @@
 	Machines []MachineRecord `cbor:"m"`
 }
 
+// Fill adds machines as long as they fit into limit, and gives those that do not.
+func (r *Roster) Fill(add []*MachineRecord, limit int) []*MachineRecord {
+	size := 0
+	for i := range r.Machines {
+		size += r.Machines[i].Size()
+	}
+	for len(add) > 0 && size+add[0].Size() <= limit {
+		size += add[0].Size()
+		r.Machines, add = append(r.Machines, *add[0]), add[1:]
+	}
+	return add
+}
+
 // reach is a set of machines that a job may be on.
 type reach struct {
 	all bool
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -72,6 +72,8 @@
 			WriteRPS float64 `toml:"write_rps"`
 			ValueKB  float64 `toml:"value_kb"`
 			TxnOps   int     `toml:"txn_ops"`
+			// Next are limits that the state service will have from some moment on.
+			Next *NextLimits `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS     float64 `toml:"rps"`
@@ -178,11 +180,18 @@
 	}
 	s := &Settings{Operators: Defaults()}
 	if err := toml.Unmarshal(b, &s.Platform); err != nil {
+		var wrong *toml.DecodeError
+		if errors.As(err, &wrong) && len(wrong.Key()) > 0 {
+			return nil, fmt.Errorf("%s: %s: %w", path, strings.Join(wrong.Key(), "."), err)
+		}
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	if err := s.Platform.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if err := s.Platform.LimitByNext(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
 	optional := iniPath == ""
 	if err := s.cancelBound(); err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
@@ -319,7 +328,7 @@
 	need(d.State.RPS > 0, "deployment.state.rps")
 	need(d.State.WriteRPS > 0, "deployment.state.write_rps")
 	need(d.State.ValueKB > 0, "deployment.state.value_kb")
-	need(d.State.TxnOps >= 4, "deployment.state.txn_ops")
+	need(d.State.TxnOps >= leastTxnOps, "deployment.state.txn_ops")
 	need(d.Cloud.RPS > 0, "deployment.cloud.rps")
 	need(d.Cloud.ListLag >= 0, "deployment.cloud.list_lag_s")
 	need(d.Limits.RAM > 0, "deployment.machine_limits.ram_mb")
