Job dependencies: jobs wait for others without a part, released by one transaction

A submission's awaits are kept in the job's record. While it waits the record names no part, so no owner, of whatever version, can start any of it, and it counts in no slot, limit, guarantee or rental. One that needs a cancelled job is withdrawn: told so as derived from the root's end at once, written by the leader later. 422 only on proof; 503 while a controller that is heard is of the version before.

internal/dependency is the pure graph (rapid test against a plain model). Not yet: inherited priority and deadline, renting ahead, the command line, more ids than a record holds.

--- /dev/null
+++ b/internal/dependency/dependency_test.go
@@ -0,0 +1,143 @@
+package dependency
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// model is the same, worked out anew from all facts each time.
+type model struct {
+	needs map[string][]string // of jobs that live and wait
+	live  map[string]bool
+	ends  map[string]End
+}
+
+func (m *model) withdrawn(id string) bool {
+	if m.ends[id] == Withdrawn {
+		return true
+	}
+	return slices.ContainsFunc(m.needs[id], m.withdrawn)
+}
+
+func (m *model) ready(id string) bool {
+	return !slices.ContainsFunc(m.needs[id], func(need string) bool { return m.ends[need] != Done })
+}
+
+// Whatever the order in which records and ends are told, how often, and after a restart in
+// which all records are told anew in any order: the same jobs are ready, withdrawn and
+// waiting as by the plain model, and nothing is kept that nobody needs.
+func TestGraphAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{needs: map[string][]string{}, live: map[string]bool{}, ends: map[string]End{}}
+		g := New(func(id string) bool { return m.live[id] })
+		all := map[string][]string{}
+		for i := range rapid.IntRange(2, 14).Draw(t, "jobs") {
+			id := fmt.Sprintf("wk-%d", i)
+			all[id] = nil
+			for k := range i {
+				if rapid.IntRange(0, 3).Draw(t, "need") == 0 {
+					all[id] = append(all[id], fmt.Sprintf("wk-%d", k))
+				}
+			}
+		}
+		names := func(from map[string][]string) (ids []string) {
+			for id := range from {
+				ids = append(ids, id)
+			}
+			slices.Sort(ids)
+			return ids
+		}
+		waits := func(id string) bool { return len(m.needs[id]) > 0 }
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := rapid.SampledFrom(names(all)).Draw(t, "id")
+			switch rapid.SampledFrom([]string{"submit", "release", "end", "end", "restart"}).Draw(t, "step") {
+			case "submit":
+				known := !slices.ContainsFunc(all[id], func(need string) bool { return !m.live[need] && m.ends[need] == Unknown })
+				if m.ends[id] != Unknown || m.live[id] && !waits(id) || !known {
+					continue // its user submits it once those it needs are accepted; a repeat changes nothing
+				}
+				m.live[id], m.needs[id] = true, all[id]
+				g.Live(id, all[id], len(all[id]) > 0)
+			case "release":
+				if !waits(id) || !m.ready(id) {
+					continue
+				}
+				delete(m.needs, id)
+				g.Live(id, all[id], false)
+			case "end":
+				if !m.live[id] {
+					continue
+				}
+				end := rapid.SampledFrom([]End{Done, Withdrawn}).Draw(t, "end")
+				if waits(id) {
+					end = Withdrawn
+				}
+				first := rapid.Bool().Draw(t, "end first")
+				if first {
+					g.End(id, end)
+				}
+				delete(m.live, id)
+				delete(m.needs, id)
+				g.Over(id)
+				if !first {
+					g.End(id, end)
+				}
+				m.ends[id] = end
+			case "restart":
+				g = New(func(id string) bool { return m.live[id] })
+				for _, id := range rapid.Permutation(names(all)).Draw(t, "order") {
+					if m.live[id] {
+						g.Live(id, all[id], waits(id))
+					}
+				}
+			}
+			for _, id := range g.AllUnread() {
+				g.End(id, m.ends[id])
+			}
+			for _, id := range names(all) {
+				if got, want := g.Waits(id), waits(id); got != want {
+					t.Fatalf("%s waits: %v, want %v", id, got, want)
+				}
+				if got, want := g.Cascaded(id), waits(id) && m.withdrawn(id); got != want {
+					t.Fatalf("%s is withdrawn with another: %v, want %v", id, got, want)
+				}
+				if got, want := slices.Contains(g.Ready(), id), waits(id) && m.ready(id); got != want {
+					t.Fatalf("%s is ready: %v, want %v", id, got, want)
+				}
+			}
+			if unread := g.AllUnread(); len(unread) > 0 {
+				t.Fatalf("%v are to be read, all ends were told", unread)
+			}
+			if len(m.needs) == 0 && g.Waiting() == 0 && len(g.jobs) > 0 {
+				t.Fatalf("%d jobs are kept though none waits", len(g.jobs))
+			}
+		}
+	})
+}
+
+// An end that is not known is to be read, for the job itself and for all that need it
+// through others; a chain of a thousand is withdrawn by the end of its root.
+func TestUnreadEndsAndLongChains(t *testing.T) {
+	live := map[string]bool{"wk-0": true}
+	g := New(func(id string) bool { return live[id] })
+	g.Live("wk-0", nil, false)
+	for i := 1; i <= 1000; i++ {
+		live[fmt.Sprintf("wk-%d", i)] = true
+		g.Live(fmt.Sprintf("wk-%d", i), []string{fmt.Sprintf("wk-%d", i-1)}, true)
+	}
+	delete(live, "wk-0")
+	g.Over("wk-0")
+	if got := g.Unread("wk-1000"); !slices.Equal(got, []string{"wk-0"}) {
+		t.Errorf("to be read for the last: %v", got)
+	}
+	if !slices.Equal(g.AllUnread(), []string{"wk-0"}) || g.Cascaded("wk-1000") {
+		t.Errorf("to be read: %v", g.AllUnread())
+	}
+	g.End("wk-0", Withdrawn)
+	if n := len(g.AllCascaded()); n != 1000 || len(g.AllUnread()) > 0 {
+		t.Errorf("%d of 1000 are withdrawn with the root", n)
+	}
+}
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"time"
 
+	"curlewspool/internal/dependency"
 	"curlewspool/internal/ledger"
 	"curlewspool/internal/part"
 	"curlewspool/internal/settings"
@@ -32,6 +33,10 @@
 	Reserved(id string) bool
 	// Elsewhere says which of the job's tasks are at partner clusters.
 	Elsewhere(id string) []wire.Elsewhere
+	// Dependencies says which jobs wait for which.
+	Dependencies() *dependency.Graph
+	// TakesDependencies: every controller that is heard understands jobs that need others.
+	TakesDependencies() bool
 }
 
 // Reply answers one request; retry is the Retry-After in seconds, 0: none.
@@ -91,6 +96,7 @@
 		in.log = append(in.log, withdrawn{id, in.w.Now()})
 	}
 	in.finals.Add(id, f)
+	in.h.Dependencies().End(id, endOf(f.Status))
 }
 
 // CalledOff lists the jobs that this controller may have said to be cancelled since a
@@ -204,7 +210,17 @@
 		reply(429, &wire.Problem{Error: "overloaded"}, 2*pause)
 		return
 	}
-	at, st := in.h.Wall(), stamps{queued: queued, came: in.w.Now()}
+	st := stamps{queued: queued, came: in.w.Now()}
+	if len(job.Needs) > 0 {
+		in.submitDependent(job, st, reply)
+		return
+	}
+	in.place(job, st, reply)
+}
+
+// place has the leader choose parts for a job and stores it.
+func (in *Intake) place(job *wire.Job, st stamps, reply Reply) {
+	at := in.h.Wall()
 	in.h.Plan(job, func(rank, chunk int, parts []int) {
 		st.chosen = in.w.Now()
 		single := job.Tasks == 1 && job.Shape == wire.Array && in.h.Ledger().Pressed(in.h.Settings().Dispatch.Anywhere)
@@ -284,7 +300,11 @@
 				slog.Debug("intake: accepted", "job", id, "rank", rec.Rank, "parts", rec.Parts)
 				in.h.News(id)
 				in.times.accepted(*st, in.w.Now())
-				once(201, &wire.JobState{ID: id, Status: wire.Pending}, 0)
+				status := wire.Pending
+				if in.h.Dependencies().Cascaded(id) {
+					status = wire.Withdrawn
+				}
+				once(201, &wire.JobState{ID: id, Status: status}, 0)
 				return
 			}
 			if !answered {
@@ -333,7 +353,6 @@
 // withdraw makes the abort durable: the final record stands and the live one
 // is gone, so nobody can start or finish the job afterwards.
 func (in *Intake) withdraw(id string, reply Reply, tries int) {
-	l := in.h.Ledger()
 	if !in.live(id) || tries > 5 {
 		later(reply, "try again")
 		return
@@ -350,6 +369,23 @@
 		}
 	}
 	in.w.After(3*time.Second, func() { once(503, &wire.Problem{Error: "state service slow"}, pause) })
+	in.storeWithdrawn(id, tasks, func(ok bool) {
+		if ok {
+			once(200, &wire.JobState{ID: id, Status: wire.Withdrawn}, 0)
+			return
+		}
+		if !answered { // moved, or over, meanwhile
+			in.abort(id, once, tries+1)
+		}
+	}, func() bool {
+		once(503, &wire.Problem{Error: "state service not reachable"}, pause)
+		return true
+	})
+}
+
+// storeWithdrawn stores that a job is cancelled. refused: see ledger.Write.
+func (in *Intake) storeWithdrawn(id string, tasks int, done func(ok bool), refused func() bool) {
+	l := in.h.Ledger()
 	var f part.Final
 	l.Write(ledger.Urgent, &ledger.Write{
 		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
@@ -366,17 +402,10 @@
 				slog.Info("intake: withdrawn", "job", id)
 				in.Over(id, f)
 				in.h.Withdrawn(id)
-				once(200, &wire.JobState{ID: id, Status: wire.Withdrawn}, 0)
-				return
-			}
-			if !answered { // moved, or over, meanwhile
-				in.abort(id, once, tries+1)
 			}
+			done(ok)
 		},
-		Refused: func() bool {
-			once(503, &wire.Problem{Error: "state service not reachable"}, pause)
-			return true
-		},
+		Refused: refused,
 	})
 }
 
@@ -401,7 +430,7 @@
 		case !ok:
 			k.fail()
 		case in.live(id):
-			k.known()
+			in.derive(k)
 		default:
 			in.look(k)
 		}
@@ -475,7 +504,7 @@
 				case !ok || k.tries > 3:
 					k.fail()
 				case in.live(k.id):
-					k.known()
+					in.derive(k)
 				default:
 					k.tries++
 					in.look(k)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"curlewspool/internal/dependency"
 	"curlewspool/internal/part"
 	"curlewspool/internal/settings"
 	"curlewspool/internal/wire"
@@ -27,6 +28,10 @@
 
 func (h *host) Settings() *settings.Settings { return &h.s }
 
+func (h *host) Dependencies() *dependency.Graph {
+	return dependency.New(func(string) bool { return false })
+}
+
 // Ended jobs are kept for ever in the state service, not in memory: what is
 // remembered is bounded by the machine's, the newest replace the oldest.
 func TestMemoryOfEndedJobsIsBounded(t *testing.T) {
--- a/internal/node/host.go
+++ b/internal/node/host.go
@@ -88,6 +88,9 @@
 	if n.demand == nil || now-n.demandAt > time.Second/4 {
 		n.demand, n.demandAt = map[string][2]float64{}, now
 		for id, rec := range n.jobs {
+			if rec.Waits() {
+				continue // it holds nothing of a guarantee
+			}
 			d, _, _ := n.Counts(id)
 			t := n.demand[rec.Job.Team]
 			t[0] += rec.Job.Cores * float64(rec.Job.Tasks-d)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,6 +77,7 @@
 
 	hearing hearing
 	vouch   vouch
+	waits   dependencies
 }
 
 // New makes a controller; Start sets it going.
@@ -102,6 +103,7 @@
 	// Twice, as the key may be taken a while after this is asked.
 	n.book.Until = func() float64 { return n.Wall() + 2*n.grantLife().Seconds() }
 	n.l.Reset = n.reset
+	n.newDependencies()
 	n.intake = intake.New(n, w)
 	n.resetSlots()
 	return n
@@ -149,6 +151,7 @@
 	case key == "":
 		n.rostersRead()
 		n.eachPart(func(p *part.Part) { p.CaughtUp() })
+		n.mindDependencies()
 	case strings.HasPrefix(key, "a/o/"):
 		n.book.Change(key, value)
 	case strings.HasPrefix(key, "a/h/"):
@@ -158,8 +161,12 @@
 	case strings.HasPrefix(key, "a/j/"):
 		id := key[4:]
 		if value == nil {
+			if n.waits.graph.Needed(id) && n.ownsSome(id) {
+				n.News(id) // others wait for its end
+			}
 			delete(n.jobs, id)
 			delete(n.over, id)
+			n.waits.graph.Over(id)
 			if n.desk != nil {
 				n.desk.Changed(id, nil)
 			}
@@ -174,10 +181,15 @@
 			slog.Error("node: bad job record", "key", key, "err", err)
 			return
 		}
-		if n.jobs[id] == nil && rec.Loan == nil {
+		was := n.jobs[id]
+		n.jobs[id] = rec
+		n.waits.graph.Live(id, rec.Job.Needs, rec.Waits())
+		if rec.Waits() {
+			return // it is nothing to any part, nor to what is rented or kept, before its release
+		}
+		if (was == nil || was.Waits()) && rec.Loan == nil {
 			n.arrivals.Note(&rec.Job, world.Seconds(rec.At), world.Seconds(n.Wall()))
 		}
-		n.jobs[id] = rec
 		n.noteLarge(&rec.Job)
 		if n.desk != nil {
 			n.desk.Changed(id, rec)
@@ -227,11 +239,18 @@
 	n.jobs, n.progress, n.machines = map[string]*part.JobRecord{}, map[string]map[int]*part.Progress{}, map[string]*part.MachineRecord{}
 	n.orphans, n.rosters, n.leftKey = map[string]bool{}, map[string][]string{}, nil
 	n.over = map[string]bool{} // what is read from now on is newer than their ends
+	n.newDependencies()
 	if n.desk != nil {
 		n.desk.Reset()
 	}
 }
 
+// ownsSome tells whether some of a job is in a part that this controller owns.
+func (n *Node) ownsSome(id string) (owns bool) {
+	n.eachPart(func(p *part.Part) { owns = owns || p.Works[id] != nil })
+	return owns
+}
+
 func (n *Node) feedProgress(p *part.Part, id string) {
 	for k := range n.names {
 		if pr := n.progress[id][k]; pr != nil {
@@ -269,6 +288,7 @@
 	}
 	n.askVouches()
 	n.ownership()
+	n.mindDependencies()
 	n.eachPart(func(p *part.Part) {
 		if n.owns(p.K) != nil {
 			p.Tick()
--- a/internal/part/job.go
+++ b/internal/part/job.go
@@ -22,12 +22,34 @@
 	// record names them. See Work.anywhere.
 	Anywhere bool `cbor:"an,omitempty"`
 
+	// SubmittedAt, of a job that waited for others, is the time of day of its acceptance;
+	// At is that of its release then, and Job.Deadline counts from there.
+	SubmittedAt float64 `cbor:"sa,omitempty"`
+
 	Away   []Away   `cbor:"aw,omitempty"` // the chunks that are lent
 	LoanNo uint64   `cbor:"ln,omitempty"` // of the latest loan; only grows
 	Done   [][2]int `cbor:"dn,omitempty"` // tasks known done when a chunk was lent or came back
 	Loan   *Loan    `cbor:"lo,omitempty"` // borrowed: whose it is
 }
 
+// Waits tells whether the job waits for others: no part has it yet, so that none can start
+// any of it, whatever version its owner is of.
+func (r *JobRecord) Waits() bool { return len(r.Parts) == 0 && len(r.Job.Needs) > 0 }
+
+// Release gives a job that has waited its parts, at a time of day. Its age begins anew;
+// its deadline goes on counting from its submission, and is over if that has passed.
+func (r *JobRecord) Release(at float64) *JobRecord {
+	out := *r
+	out.SubmittedAt, out.At = r.At, at
+	if r.Job.Deadline > 0 {
+		out.Job.Deadline = max(r.Job.Deadline-(at-r.At), overdue)
+	}
+	return &out
+}
+
+// overdue is a deadline that is over from the start; 0 would be none.
+const overdue = 0.001
+
 // Lent is the part of a chunk that is at a partner: nobody's here.
 const Lent = -1
 
--- a/internal/standin/random_test.go
+++ b/internal/standin/random_test.go
@@ -27,6 +27,9 @@
 // combinedDays: from this seed on days have those of combined_test.go, and no outage on the members' word.
 const combinedDays = 500000
 
+// pipelineDays: and pipelines, whose stages are cancelled, late, or repeated.
+const pipelineDays = 600000
+
 // vouchDays: and on these the controllers vouch for each other in an outage.
 const vouchDays = 400000
 
@@ -337,6 +340,9 @@
 			s.Submit(at, Spec(fmt.Sprintf("wk-s%d", i), wire.Array, 1, 1, takes, nil))
 		}
 	}
+	if seed >= pipelineDays {
+		s.randomPipelines(r)
+	}
 	at, burst := 8+20*r.Float64(), false
 	if seed >= vouchDays && seed < combinedDays {
 		s.vouching()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,6 +7,7 @@
 import (
 	"math"
 	"regexp"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -98,6 +99,7 @@
 	Mark     *float64 `cbor:"markS"`
 	Stow     *float64 `cbor:"stowS"`
 	Due      *float64 `cbor:"dueS"`
+	Awaits   []string `cbor:"awaits,omitempty"`
 }
 
 // Job is a checked submission. It is kept in the state service in this form.
@@ -122,6 +124,8 @@
 	Mark     float64  `cbor:"ck"`
 	Save     float64  `cbor:"sv"`
 	Deadline float64  `cbor:"dl"` // seconds after submission; 0: none
+	// Needs are the jobs that must be done before any of its tasks starts.
+	Needs []string `cbor:"nd,omitempty"`
 }
 
 // MaxTasks is the most tasks a job may have.
@@ -187,6 +191,14 @@
 	if s.Due != nil {
 		j.Deadline = *s.Due
 	}
+	for _, need := range s.Awaits {
+		if !ValidJobID(need) {
+			return nil, "awaits"
+		}
+		if !slices.Contains(j.Needs, need) {
+			j.Needs = append(j.Needs, need)
+		}
+	}
 	return j, ""
 }
 
