Dependencies: earlier stages inherit the last one's priority and deadline

Need: users set both on the last job of a pipeline only. A job takes over the highest priority of those that wait for it, and the time by which it must be done so that the longest way to their deadlines is kept. Derived (dependency.Inherited), worked out anew when a stage comes or goes, kept in the part's own copy of the record, never stored.

--- a/internal/dependency/dependency.go
+++ b/internal/dependency/dependency.go
@@ -22,10 +22,18 @@
 	Withdrawn            // it was cancelled
 )
 
+// Terms are what a job passes on to those that it needs.
+type Terms struct {
+	Rank     int     // of priorities
+	Due      float64 // time of day by which it is to be done, in seconds; 0: none
+	Estimate float64 // of its run time, in seconds
+}
+
 // job is one that lives, or that a waiting one needs.
 type job struct {
 	waiting    bool
 	needs      []string
+	terms      Terms
 	dependents map[string]bool // waiting jobs that need it
 	end        End
 	missing    int  // needed jobs that are not done
@@ -56,8 +64,9 @@
 	return j
 }
 
-// Live takes the record of a job that lives: what it needs, and whether it still waits.
-func (g *Graph) Live(id string, needs []string, waiting bool) {
+// Live takes the record of a job that lives: what it needs, whether it still waits, and
+// what it passes on.
+func (g *Graph) Live(id string, needs []string, waiting bool, terms Terms) {
 	if !waiting && g.jobs[id] == nil {
 		return // nobody needs it
 	}
@@ -65,6 +74,7 @@
 	delete(g.unread, id)
 	switch {
 	case waiting && !j.waiting:
+		j.terms = terms
 		g.link(id, j, needs)
 	case !waiting && j.waiting:
 		g.unlink(id, j)
@@ -168,6 +178,57 @@
 	}
 }
 
+// Inherited is what a job takes over from those that wait for it, directly or through
+// others: the highest of their priorities, and when it must be done so that the longest way
+// from it to any of their deadlines is kept. false: none waits for it.
+func (g *Graph) Inherited(id string) (Terms, bool) {
+	j := g.jobs[id]
+	if j == nil || len(j.dependents) == 0 {
+		return Terms{}, false
+	}
+	return g.inherited(j, map[*job]Terms{}), true
+}
+
+func (g *Graph) inherited(j *job, known map[*job]Terms) Terms {
+	if terms, ok := known[j]; ok {
+		return terms
+	}
+	var out Terms
+	for id := range j.dependents {
+		d := g.jobs[id]
+		if d.cascaded {
+			continue
+		}
+		above := g.inherited(d, known)
+		out.Rank = max(out.Rank, d.terms.Rank, above.Rank)
+		for _, due := range []float64{d.terms.Due, above.Due} {
+			if due > 0 && (out.Due == 0 || due-d.terms.Estimate < out.Due) {
+				out.Due = due - d.terms.Estimate
+			}
+		}
+	}
+	known[j] = out
+	return out
+}
+
+// Upstream lists what a waiting job needs, directly or through others.
+func (g *Graph) Upstream(id string) (ids []string) {
+	seen := map[string]bool{}
+	var visit func(id string)
+	visit = func(id string) {
+		for _, need := range g.jobs[id].needs {
+			if !seen[need] {
+				seen[need], ids = true, append(ids, need)
+				visit(need)
+			}
+		}
+	}
+	if g.Waits(id) {
+		visit(id)
+	}
+	return ids
+}
+
 // Waits tells whether a job waits for others.
 func (g *Graph) Waits(id string) bool { j := g.jobs[id]; return j != nil && j.waiting }
 
@@ -194,23 +255,11 @@
 // Unread lists the jobs that a waiting one needs, directly or through others, whose ends
 // must be read before it is certain that it still waits.
 func (g *Graph) Unread(id string) (ids []string) {
-	seen := map[string]bool{}
-	var visit func(id string)
-	visit = func(id string) {
-		for _, need := range g.jobs[id].needs {
-			if seen[need] {
-				continue
-			}
-			seen[need] = true
-			if g.unread[need] {
-				ids = append(ids, need)
-			}
-			visit(need)
+	for _, need := range g.Upstream(id) {
+		if g.unread[need] {
+			ids = append(ids, need)
 		}
 	}
-	if g.Waits(id) {
-		visit(id)
-	}
 	return ids
 }
 
--- a/internal/dependency/dependency_test.go
+++ b/internal/dependency/dependency_test.go
@@ -60,13 +60,13 @@
 					continue // its user submits it once those it needs are accepted; a repeat changes nothing
 				}
 				m.live[id], m.needs[id] = true, all[id]
-				g.Live(id, all[id], len(all[id]) > 0)
+				g.Live(id, all[id], len(all[id]) > 0, Terms{})
 			case "release":
 				if !waits(id) || !m.ready(id) {
 					continue
 				}
 				delete(m.needs, id)
-				g.Live(id, all[id], false)
+				g.Live(id, all[id], false, Terms{})
 			case "end":
 				if !m.live[id] {
 					continue
@@ -90,7 +90,7 @@
 				g = New(func(id string) bool { return m.live[id] })
 				for _, id := range rapid.Permutation(names(all)).Draw(t, "order") {
 					if m.live[id] {
-						g.Live(id, all[id], waits(id))
+						g.Live(id, all[id], waits(id), Terms{})
 					}
 				}
 			}
@@ -123,10 +123,10 @@
 func TestUnreadEndsAndLongChains(t *testing.T) {
 	live := map[string]bool{"wk-0": true}
 	g := New(func(id string) bool { return live[id] })
-	g.Live("wk-0", nil, false)
+	g.Live("wk-0", nil, false, Terms{})
 	for i := 1; i <= 1000; i++ {
 		live[fmt.Sprintf("wk-%d", i)] = true
-		g.Live(fmt.Sprintf("wk-%d", i), []string{fmt.Sprintf("wk-%d", i-1)}, true)
+		g.Live(fmt.Sprintf("wk-%d", i), []string{fmt.Sprintf("wk-%d", i-1)}, true, Terms{})
 	}
 	delete(live, "wk-0")
 	g.Over("wk-0")
@@ -141,3 +141,28 @@
 		t.Errorf("%d of 1000 are withdrawn with the root", n)
 	}
 }
+
+// A first stage takes over the highest priority of those that wait for it, and the latest
+// moment at which it can be done so that the longest way to the last one's deadline is kept;
+// less, when a later stage is cancelled.
+func TestInheritedTerms(t *testing.T) {
+	g := New(func(string) bool { return true })
+	if _, ok := g.Inherited("wk-first"); ok {
+		t.Error("something is inherited though nobody waits")
+	}
+	g.Live("wk-left", []string{"wk-first"}, true, Terms{Rank: 0, Estimate: 20})
+	g.Live("wk-right", []string{"wk-first"}, true, Terms{Rank: 1, Estimate: 50})
+	g.Live("wk-last", []string{"wk-left", "wk-right"}, true, Terms{Rank: 2, Due: 1000, Estimate: 10})
+	for id, want := range map[string]Terms{"wk-first": {Rank: 2, Due: 940}, "wk-right": {Rank: 2, Due: 990}, "wk-left": {Rank: 2, Due: 990}} {
+		if got, ok := g.Inherited(id); !ok || got != want {
+			t.Errorf("%s inherits %+v, want %+v", id, got, want)
+		}
+	}
+	if _, ok := g.Inherited("wk-last"); ok {
+		t.Error("the last stage inherits something")
+	}
+	g.Over("wk-last")
+	if got, _ := g.Inherited("wk-first"); got != (Terms{Rank: 1}) {
+		t.Errorf("without the last stage it inherits %+v", got)
+	}
+}
--- a/internal/node/dependencies.go
+++ b/internal/node/dependencies.go
@@ -128,10 +128,45 @@
 	return true
 }
 
+// terms are what a job passes on to those that it needs.
+func terms(rec *part.JobRecord) dependency.Terms {
+	t := dependency.Terms{Rank: rec.Job.Rank, Estimate: rec.Job.Estimate}
+	if rec.Job.Deadline > 0 {
+		t.Due = rec.At + rec.Job.Deadline
+	}
+	return t
+}
+
+// Inherit gives a job's record with what it takes over from jobs that wait for it: the
+// highest of their priorities, and the time by which it must be done for their deadlines.
+// Users set both on the last job of a pipeline only. Nothing of it is stored.
+func (n *Node) Inherit(rec *part.JobRecord) *part.JobRecord {
+	t, ok := n.waits.graph.Inherited(rec.Job.ID)
+	if !ok {
+		return rec
+	}
+	out := *rec
+	out.Job.Rank = max(out.Job.Rank, t.Rank)
+	if t.Due > 0 {
+		due := max(t.Due-rec.At, part.Overdue)
+		if out.Job.Deadline == 0 || due < out.Job.Deadline {
+			out.Job.Deadline = due
+		}
+	}
+	return &out
+}
+
+// inheritAnew has the parts take over anew what jobs have from those that wait for them.
+func (n *Node) inheritAnew(ids []string) {
+	for _, id := range ids {
+		n.eachPart(func(p *part.Part) { p.Inherit(id) })
+	}
+}
+
 // placeReleased gives a job that has waited its parts.
 func (n *Node) placeReleased(id string, waiting *part.JobRecord) {
 	rec := waiting.Release(n.Wall())
-	n.Plan(&rec.Job, func(rank, chunk int, parts []int) {
+	n.Plan(&n.Inherit(rec).Job, func(rank, chunk int, parts []int) {
 		rec.Rank, rec.Chunk, rec.Parts = rank, chunk, parts
 		n.l.Write(ledger.Urgent, &ledger.Write{
 			Build: func(nonce string) ([]wire.Cond, []wire.Op) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -166,7 +166,9 @@
 			}
 			delete(n.jobs, id)
 			delete(n.over, id)
+			upstream := n.waits.graph.Upstream(id)
 			n.waits.graph.Over(id)
+			n.inheritAnew(upstream)
 			if n.desk != nil {
 				n.desk.Changed(id, nil)
 			}
@@ -183,7 +185,8 @@
 		}
 		was := n.jobs[id]
 		n.jobs[id] = rec
-		n.waits.graph.Live(id, rec.Job.Needs, rec.Waits())
+		n.waits.graph.Live(id, rec.Job.Needs, rec.Waits(), terms(rec))
+		n.inheritAnew(n.waits.graph.Upstream(id))
 		if rec.Waits() {
 			return // it is nothing to any part, nor to what is rented or kept, before its release
 		}
--- a/internal/node/rent.go
+++ b/internal/node/rent.go
@@ -163,6 +163,7 @@
 	for _, s := range n.statuses() {
 		for _, g := range s.Gaps {
 			if rec := n.jobs[g.Job]; rec != nil {
+				rec = n.Inherit(rec)
 				gaps = append(gaps, fleet.Gap{Job: &rec.Job, Tasks: int(g.Tasks), Waited: n.Wall() - rec.At, Starts: g.StartsS, Due: n.Deadlines(&rec.Job),
 					Free: n.freeIn(s, g, &rec.Job)})
 			}
--- a/internal/part/job.go
+++ b/internal/part/job.go
@@ -42,13 +42,13 @@
 	out := *r
 	out.SubmittedAt, out.At = r.At, at
 	if r.Job.Deadline > 0 {
-		out.Job.Deadline = max(r.Job.Deadline-(at-r.At), overdue)
+		out.Job.Deadline = max(r.Job.Deadline-(at-r.At), Overdue)
 	}
 	return &out
 }
 
-// overdue is a deadline that is over from the start; 0 would be none.
-const overdue = 0.001
+// Overdue is a deadline that is over from the start; 0 would be none.
+const Overdue = 0.001
 
 // Lent is the part of a chunk that is at a partner: nobody's here.
 const Lent = -1
@@ -182,8 +182,9 @@
 
 // Work is a job with tasks in this part.
 type Work struct {
-	Rec   *JobRecord
-	Stamp uint64
+	Rec    *JobRecord // with what it inherits: see Host.Inherit
+	record *JobRecord // as the state service has it
+	Stamp  uint64
 
 	state   []uint8 // of all tasks of the job
 	mine    int     // tasks in this part
--- a/internal/part/loan.go
+++ b/internal/part/loan.go
@@ -48,7 +48,7 @@
 			if p.Works[id] != w || !p.untouched(w, o.Chunk) {
 				return nil, nil
 			}
-			rec := *w.Rec
+			rec := *w.record
 			rec.W = nonce
 			rec.Parts = append([]int(nil), rec.Parts...)
 			rec.Parts[o.Chunk] = Lent
--- a/internal/part/moves.go
+++ b/internal/part/moves.go
@@ -284,7 +284,7 @@
 			if _, on := w.chunk(c); on {
 				return nil, nil
 			}
-			rec := *w.Rec
+			rec := *w.record
 			rec.W = nonce
 			rec.Parts = append([]int(nil), rec.Parts...)
 			rec.Parts[c] = to
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -40,6 +40,9 @@
 	Coming() (cores, in float64)
 	// Deadlines of a job, in seconds after its submission, in rising order.
 	Deadlines(j *wire.Job) []float64
+	// Inherit gives a job's record with what it takes over from jobs that wait for it; the
+	// record itself if that is nothing.
+	Inherit(rec *JobRecord) *JobRecord
 	// TeamDemand is the cores and GPUs of a team's unfinished jobs.
 	TeamDemand(team string) (cores, gpus float64)
 	// Reassign gives a machine to another part while the guard holds and ok
@@ -174,12 +177,20 @@
 		}
 		slog.Debug("part: queued", "part", p.K, "job", id, "tasks", rec.Job.Tasks, "rank", rec.Rank)
 	}
-	w.Rec, w.Stamp = rec, stamp
+	w.record, w.Rec, w.Stamp = rec, p.h.Inherit(rec), stamp
 	w.absorb(&Progress{Done: rec.Done}, p.K)
 	w.recount(p.K)
 	p.catchUp(w)
 }
 
+// Inherit takes over anew what a job has from those that wait for it.
+func (p *Part) Inherit(id string) {
+	if w := p.Works[id]; w != nil {
+		w.Rec = p.h.Inherit(w.record)
+		p.dirty = true
+	}
+}
+
 // catchUp lets a single task start that may be anywhere, once all is known that was
 // stored before its record. The answer to our own write of it comes earlier, and the
 // part may have been taken from us before: the taker holds such a record, newer than
--- a/internal/part/tenure_test.go
+++ b/internal/part/tenure_test.go
@@ -167,3 +167,5 @@
 		t.Error("one of fifteen in its zone is not called silent by itself")
 	}
 }
+
+func (h *host) Inherit(rec *JobRecord) *JobRecord { return rec }
