--- a/internal/standin/pipeline_test.go
+++ b/internal/standin/pipeline_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -15,10 +17,10 @@
 	first, left, right, join, last := name+"-first", name+"-left", name+"-right", name+"-join", name+"-last"
 	due := 120.0
 	s.Submit(at, Spec(first, wire.Array, 4, 1, 5, nil))
-	s.Submit(at+0.2, Spec(left, wire.Array, 6, 1, 4, After(first)))
-	s.Submit(at+0.3, Spec(right, wire.Array, 3, 1, 8, After(first)))
-	s.Submit(at+0.5, Spec(join, wire.Gang, 2, 2, 5, After(left, right)))
-	s.Submit(at+0.7, Spec(last, wire.Array, 2, 1, 3, func(x *wire.Submission) {
+	s.submitOnceAccepted(at+0.2, Spec(left, wire.Array, 6, 1, 4, After(first)))
+	s.submitOnceAccepted(at+0.3, Spec(right, wire.Array, 3, 1, 8, After(first)))
+	s.submitOnceAccepted(at+0.5, Spec(join, wire.Gang, 2, 2, 5, After(left, right)))
+	s.submitOnceAccepted(at+0.7, Spec(last, wire.Array, 2, 1, 3, func(x *wire.Submission) {
 		After(join)(x)
 		x.Rank, x.Due = text("high"), &due
 	}))
@@ -76,9 +78,82 @@
 		}, func(t *testing.T, s *Sim, w []*Worker) {
 			told(t, s, wire.Withdrawn, "wk-p-first", "wk-p-left", "wk-p-right", "wk-p-join", "wk-p-last")
 		}},
+		// A needed job fails on every machine: those that need it wait until its user gives up.
+		{"needed-job-fails-everywhere", func(s *Sim, w []*Worker) []string {
+			s.Mistaken = map[string]bool{"wk-4": true}
+			s.Submit(8, Spec("wk-4", wire.Array, 2, 1, 4, nil))
+			s.Submit(9, Spec("wk-5", wire.Array, 2, 1, 3, After("wk-4")))
+			s.Abort(50, "wk-4")
+			return nil
+		}, func(t *testing.T, s *Sim, w []*Worker) {
+			told(t, s, wire.Withdrawn, "wk-4", "wk-5")
+		}},
+		// The zones are cut apart as the first stage ends: the second one's parts are in both.
+		{"zones-apart-at-the-release", func(s *Sim, w []*Worker) []string {
+			s.At(18, func() { s.At(40, s.CutZone("b")) })
+			return s.pipeline(8, "wk-p")
+		}, nil},
 	})
 }
 
+// pipelineTroubles are what a pipeline is to go through, from a moment on.
+var pipelineTroubles = map[string]func(s *Sim, at float64){
+	"none":                  func(*Sim, float64) {},
+	"changes are told late": func(s *Sim, at float64) { s.Unsaid = true; s.slowAt("/changes", s.rnd, at-3, at+20, 2.5) },
+	"written late":          func(s *Sim, at float64) { s.late(at-2, at+15, 0.5, 2, 12, "/multi") },
+	"answers lost":          func(s *Sim, at float64) { s.late(at-2, at+15, 0.7, 0.001, 0.003, "/multi") },
+	"leaders end":           func(s *Sim, at float64) { s.quick(at, 0.3, s.leader); s.quick(at+1.5, 5, s.leader) },
+	"refused alone, then down for all": func(s *Sim, at float64) {
+		s.Unsaid = true
+		s.refuseFor(at-1, at+6, theLeader)
+		s.At(at+1, func() { s.State.Outage(40 * time.Second) })
+	},
+}
+
+// Each stage of a pipeline is cancelled at moments from before it is submitted, across the
+// ends and releases of the others, until all is over; a job that needs its last stage comes
+// at the same moment. All that need a cancelled one are withdrawn with it, everything else
+// is done, and no task starts before what its job needs.
+func TestPipelineCancelledAtAnyMoment(t *testing.T) {
+	t.Parallel()
+	ends := map[string]int{}
+	seed := uint64(3200)
+	for _, trouble := range slices.Sorted(maps.Keys(pipelineTroubles)) {
+		for _, stage := range []string{"first", "left", "join", "last"} {
+			for at := 8.9; at < 42; at += 3.4 {
+				seed++
+				s := New(seed)
+				s.API()
+				s.history.Calm = 110 * time.Second
+				s.watchWaiting()
+				fleet(s, 6, 0)
+				ids := s.pipeline(8, "wk-p")
+				s.Abort(at, "wk-p-"+stage)
+				s.submitOnceAccepted(at, Spec("wk-p-more", wire.Array, 2, 1, 3, After("wk-p-last", "wk-p-first")))
+				pipelineTroubles[trouble](s, at)
+				s.Start()
+				s.Run(200)
+				what := fmt.Sprintf("%s, %s is cancelled at %.1f (seed %d)", trouble, stage, at, seed)
+				for _, wrong := range s.verdict(true) {
+					t.Errorf("%s: %s", what, wrong)
+				}
+				for _, id := range append(ids, "wk-p-more") {
+					if s.Told(id) == "" { // its user gave up in the outage, or that of one that it needs
+						continue
+					}
+					if want := s.cancelledAbove(id, 0) || s.Told("wk-p-"+stage) == wire.Withdrawn && id == "wk-p-"+stage; want != (s.Told(id) == wire.Withdrawn) {
+						t.Errorf("%s: %s is %s", what, id, s.Told(id))
+					}
+					ends[s.Told(id)]++
+				}
+			}
+		}
+	}
+	if ends[wire.Done] < 300 || ends[wire.Withdrawn] < 300 {
+		t.Errorf("ends %v: too few to tell", ends)
+	}
+}
+
 // randomPipelines submits some pipelines of random form: each stage needs one to three of
 // those before it; some stages are cancelled, late, or need something that is long over.
 func (s *Sim) randomPipelines(r *rand.Rand) {
@@ -94,7 +169,7 @@
 			if r.IntN(4) == 0 {
 				shape, tasks = wire.Gang, 2
 			}
-			s.submitOnceAccepted(at+0.1*float64(i), needs, Spec(id, shape, tasks, 1, 2+6*r.Float64(), func(x *wire.Submission) {
+			s.submitOnceAccepted(at+0.1*float64(i), Spec(id, shape, tasks, 1, 2+6*r.Float64(), func(x *wire.Submission) {
 				x.Awaits, x.Due = needs, &due
 			}))
 			if r.IntN(10) == 0 {
@@ -108,11 +183,11 @@
 }
 
 // submitOnceAccepted submits as users do: as soon as those that it needs are accepted.
-func (s *Sim) submitOnceAccepted(at float64, needs []string, sub *wire.Submission) {
+func (s *Sim) submitOnceAccepted(at float64, sub *wire.Submission) {
 	s.At(at, func() {
-		for _, need := range needs {
+		for _, need := range sub.Awaits {
 			if s.told[need] == "" {
-				s.submitOnceAccepted(s.now.Seconds()+0.1, needs, sub)
+				s.submitOnceAccepted(s.now.Seconds()+0.1, sub)
 				return
 			}
 		}
