--- a/cmd/curlew/jobs.go
+++ b/cmd/curlew/jobs.go
@@ -26,6 +26,9 @@
 	Running *int   `json:"running,omitempty"`
 	// Elsewhere is what is at partner clusters, and why.
 	Elsewhere []wire.Elsewhere `json:"elsewhere,omitempty"`
+	// Awaits is what it waits for, Cause the job with whose cancellation it was withdrawn.
+	Awaits []string `json:"awaits,omitempty"`
+	Cause  string   `json:"cause,omitempty"`
 }
 
 type asker struct {
@@ -58,7 +61,7 @@
 }
 
 func (a *asker) print(out io.Writer, s *wire.JobState) error {
-	return show(out, a.json, &stateJSON{s.ID, s.Status, s.Done, s.Running, s.Elsewhere}, func(w io.Writer) { fmt.Fprintln(w, client.Line(s)) })
+	return show(out, a.json, &stateJSON{s.ID, s.Status, s.Done, s.Running, s.Elsewhere, s.Awaits, s.Cause}, func(w io.Writer) { fmt.Fprintln(w, client.Line(s)) })
 }
 
 func jobCommands() []*cobra.Command {
@@ -83,7 +86,7 @@
 	var id, shape, rank, class, team, image, zone, file string
 	var tasks uint64
 	var cores, gpus, memory, imageGb, estimate, mark, save, due float64
-	var types []string
+	var types, awaits []string
 	var oneZone, spread, ordinary, wait bool
 	c := &cobra.Command{
 		Use: "submit", Short: "Submit a job", Args: cobra.NoArgs,
@@ -120,6 +123,7 @@
 				if due > 0 {
 					sub.Due = &due
 				}
+				sub.Awaits = awaits
 			}
 			if _, bad := sub.Check(); bad != "" {
 				return fmt.Errorf("the job is not valid: %s", bad)
@@ -148,6 +152,7 @@
 	f.Float64Var(&imageGb, "image-gb", 0.1, "its size in GB")
 	f.StringVar(&zone, "zone", "", "the only zone allowed")
 	f.StringSliceVar(&types, "types", nil, "machine types allowed (default: all)")
+	f.StringSliceVar(&awaits, "awaits", nil, "ids of jobs that must be done before any task starts, with commas")
 	f.Uint64Var(&tasks, "tasks", 1, "number of tasks")
 	f.Float64Var(&cores, "cores", 1, "cores of a task")
 	f.Float64Var(&gpus, "gpus", 0, "accelerators of a task")
--- a/cmd/curlew/look.go
+++ b/cmd/curlew/look.go
@@ -93,6 +93,7 @@
 	deafDesc    = prometheus.NewDesc("curlewspool_deaf_machines", "Machines of its parts that report and hear nothing", []string{"controller"}, nil)
 	silentDesc  = prometheus.NewDesc("curlewspool_unanswered_machines", "Machines of its parts that have not answered this owner", []string{"controller"}, nil)
 	aloneDesc   = prometheus.NewDesc("curlewspool_isolated", "1 if it hears neither the state service nor another controller", []string{"controller"}, nil)
+	dependDesc  = prometheus.NewDesc("curlewspool_dependent_jobs", "Jobs that need others: waiting now; released, and withdrawn with one that they needed, by this process", []string{"controller", "state"}, nil)
 	awayDesc    = prometheus.NewDesc("curlewspool_federation_away", "Chunks that are at partners", []string{"controller", "partner"}, nil)
 	borrowDesc  = prometheus.NewDesc("curlewspool_federation_borrowed", "Loans that are here", []string{"controller"}, nil)
 	submitDesc  = prometheus.NewDesc("curlewspool_submission_seconds", "Accepted submissions, by where their time went, since the process began", []string{"controller", "part"}, nil)
@@ -102,7 +103,7 @@
 )
 
 func (k *collector) Describe(ch chan<- *prometheus.Desc) {
-	for _, d := range []*prometheus.Desc{upDesc, liveDesc, machineDesc, waitingDesc, deafDesc, silentDesc, aloneDesc, submitDesc, spentDesc, busyDesc, awayDesc, borrowDesc, loanDesc} {
+	for _, d := range []*prometheus.Desc{upDesc, liveDesc, machineDesc, waitingDesc, deafDesc, silentDesc, aloneDesc, submitDesc, spentDesc, busyDesc, dependDesc, awayDesc, borrowDesc, loanDesc} {
 		ch <- d
 	}
 }
@@ -144,6 +145,9 @@
 		gauge(busyDesc, s.Busiest.Requests, a, "state_requests")
 		gauge(busyDesc, s.Busiest.Changes, a, "state_changes")
 		gauge(busyDesc, s.Busiest.Cloud, a, "cloud_calls")
+		gauge(dependDesc, float64(s.Dependencies.Waiting), a, "waiting")
+		gauge(dependDesc, float64(s.Dependencies.Released), a, "released")
+		gauge(dependDesc, float64(s.Dependencies.Cascaded), a, "cascaded")
 		f := s.Federation
 		if f == nil {
 			continue
--- a/cmd/curlew/main_test.go
+++ b/cmd/curlew/main_test.go
@@ -33,6 +33,7 @@
 		{"submit --to 127.0.0.1:1 --rank top", "must be one of high, low, normal, prod"},
 		{"submit --to 127.0.0.1:1 --id x", "the job is not valid: id"},
 		{"submit --to 127.0.0.1:1 --tasks 0", "the job is not valid: pieces"},
+		{"submit --to 127.0.0.1:1 --awaits wk-1,x", "the job is not valid: awaits"},
 		{"submit --to 127.0.0.1:1 --file nothing.json", "nothing.json"},
 		{"status --to 127.0.0.1:1", "requires at least 1 arg"},
 		{"dev --controllers 0", "out of range"},
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -176,6 +176,12 @@
 	if s.Done != nil && s.Running != nil && !Over(s) {
 		line += fmt.Sprintf(" (%d done, %d running)", *s.Done, *s.Running)
 	}
+	if len(s.Awaits) > 0 {
+		line += "; waits for " + strings.Join(s.Awaits, ", ")
+	}
+	if s.Cause != "" {
+		line += " with " + s.Cause + ", which it needs"
+	}
 	for _, e := range s.Elsewhere {
 		line += fmt.Sprintf("; %d tasks from %d on are at %s: %s", e.Tasks, e.First, e.Cluster, e.Why)
 	}
--- a/internal/dependency/dependency.go
+++ b/internal/dependency/dependency.go
@@ -239,6 +239,24 @@
 // that are known.
 func (g *Graph) Cascaded(id string) bool { return g.cascaded[id] }
 
+// Cause is the cancelled job with which a waiting one is withdrawn; "": it is not.
+func (g *Graph) Cause(id string) string {
+	if !g.Cascaded(id) {
+		return ""
+	}
+	for _, need := range g.jobs[id].needs {
+		if g.jobs[need].end == Withdrawn {
+			return need
+		}
+	}
+	for _, need := range g.jobs[id].needs {
+		if cause := g.Cause(need); cause != "" {
+			return cause
+		}
+	}
+	return ""
+}
+
 // Needs lists what a waiting job needs and is not known to be done.
 func (g *Graph) Needs(id string) (open []string) {
 	if !g.Waits(id) {
--- a/internal/dependency/dependency_test.go
+++ b/internal/dependency/dependency_test.go
@@ -137,6 +137,9 @@
 		t.Errorf("to be read: %v", g.AllUnread())
 	}
 	g.End("wk-0", Withdrawn)
+	if got := g.Cause("wk-1000"); got != "wk-0" {
+		t.Errorf("the last is withdrawn with %q", got)
+	}
 	if n := len(g.AllCascaded()); n != 1000 || len(g.AllUnread()) > 0 {
 		t.Errorf("%d of 1000 are withdrawn with the root", n)
 	}
--- a/internal/intake/dependent.go
+++ b/internal/intake/dependent.go
@@ -110,7 +110,7 @@
 	unread := graph.Unread(k.id)
 	switch {
 	case graph.Cascaded(k.id):
-		k.final(part.Final{Status: wire.Withdrawn, Tasks: in.tasks(k.id)})
+		k.final(part.Final{Status: wire.Withdrawn, Tasks: in.tasks(k.id), Cause: graph.Cause(k.id)})
 	case len(unread) == 0:
 		k.known()
 	default:
@@ -135,6 +135,15 @@
 	return 0
 }
 
+// mostNeedsTold keeps the answer to a question small.
+const mostNeedsTold = 100
+
+// openNeeds lists what a job still waits for.
+func (in *Intake) openNeeds(id string) []string {
+	open := in.h.Dependencies().Needs(id)
+	return open[:min(len(open), mostNeedsTold)]
+}
+
 // readEnds reads how jobs ended that no longer live; false: not all could be read.
 func (in *Intake) readEnds(ids []string, done func(ok bool)) {
 	left, all := len(ids), true
@@ -168,5 +177,5 @@
 
 // Cascade stores that a job which waits is withdrawn with one that it needs.
 func (in *Intake) Cascade(id string, done func(ok bool)) {
-	in.storeWithdrawn(id, in.tasks(id), done, func() bool { return true })
+	in.storeWithdrawn(id, in.tasks(id), in.h.Dependencies().Cause(id), done, func() bool { return true })
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -122,7 +122,7 @@
 func later(reply Reply, why string) { reply(503, &wire.Problem{Error: why}, pause) }
 
 func finalState(id string, f part.Final) *wire.JobState {
-	s := &wire.JobState{ID: id, Status: f.Status}
+	s := &wire.JobState{ID: id, Status: f.Status, Cause: f.Cause}
 	if f.Status == wire.Done {
 		zero := 0
 		s.Done, s.Running = &f.Tasks, &zero
@@ -143,7 +143,7 @@
 	if started && running > 0 {
 		s.Status = wire.Running
 	}
-	s.Elsewhere = in.h.Elsewhere(id)
+	s.Elsewhere, s.Awaits = in.h.Elsewhere(id), in.openNeeds(id)
 	return s
 }
 
@@ -369,7 +369,7 @@
 		}
 	}
 	in.w.After(3*time.Second, func() { once(503, &wire.Problem{Error: "state service slow"}, pause) })
-	in.storeWithdrawn(id, tasks, func(ok bool) {
+	in.storeWithdrawn(id, tasks, "", func(ok bool) {
 		if ok {
 			once(200, &wire.JobState{ID: id, Status: wire.Withdrawn}, 0)
 			return
@@ -383,8 +383,9 @@
 	})
 }
 
-// storeWithdrawn stores that a job is cancelled. refused: see ledger.Write.
-func (in *Intake) storeWithdrawn(id string, tasks int, done func(ok bool), refused func() bool) {
+// storeWithdrawn stores that a job is cancelled, by its user or, if cause is not empty,
+// with another. refused: see ledger.Write.
+func (in *Intake) storeWithdrawn(id string, tasks int, cause string, done func(ok bool), refused func() bool) {
 	l := in.h.Ledger()
 	var f part.Final
 	l.Write(ledger.Urgent, &ledger.Write{
@@ -393,7 +394,7 @@
 			if c.Stamp == 0 {
 				return nil, nil
 			}
-			f = part.Final{W: nonce, Status: wire.Withdrawn, Tasks: tasks, At: in.h.Wall()}
+			f = part.Final{W: nonce, Status: wire.Withdrawn, Tasks: tasks, At: in.h.Wall(), Cause: cause}
 			return []wire.Cond{c, {Key: part.FinalKey(id)}},
 				[]wire.Op{{Put: part.FinalKey(id), Value: wire.Encode(&f)}, {Delete: part.JobKey(id)}}
 		},
--- a/internal/node/choose.go
+++ b/internal/node/choose.go
@@ -162,6 +162,6 @@
 	}
 	n.over[id] = true
 	slog.Info("node: called off by another controller's word", "job", id)
-	n.intake.Over(id, part.Final{Status: wire.Withdrawn, Tasks: rec.Job.Tasks})
+	n.intake.Over(id, part.Final{Status: wire.Withdrawn, Tasks: rec.Job.Tasks, Cause: n.waits.graph.Cause(id)})
 	n.eachPart(func(p *part.Part) { p.OnJob(id, nil, 0) })
 }
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -81,10 +81,20 @@
 	// Spent is what machines cost since the controller began, by cause, in the
 	// catalog's unit of money.
 	Spent part.Spent `cbor:"spent" json:"spent"`
+	// Dependencies counts the jobs that wait for others now, and those that this process
+	// has released and has withdrawn with one that they needed.
+	Dependencies DependencyCounts `cbor:"dependencies" json:"dependencies"`
 	// Federation is nil without partners.
 	Federation *federation.View `cbor:"federation,omitempty" json:"federation,omitempty"`
 }
 
+// DependencyCounts tells of jobs that need others.
+type DependencyCounts struct {
+	Waiting  int `cbor:"waiting" json:"waiting"`
+	Released int `cbor:"released" json:"released"`
+	Cascaded int `cbor:"cascaded" json:"cascaded"`
+}
+
 // PartState is one part that the controller owns.
 type PartState struct {
 	Part     int    `cbor:"part" json:"part"`
@@ -99,7 +109,8 @@
 // Describe tells an operator what this controller owns and why jobs wait.
 func (n *Node) Describe() *State {
 	s := &State{Host: n.s.Name, Leader: n.book.Owner(lead.Leader), Ready: n.ready(), Isolated: n.isolated(), Parts: []PartState{}, Waiting: map[string]string{},
-		Jobs: len(n.jobs), Machines: len(n.machines), Intake: n.intake.String(), Submits: *n.intake.Times(), Busiest: n.load.load(), Spent: maps.Clone(n.spent)}
+		Jobs: len(n.jobs), Machines: len(n.machines), Intake: n.intake.String(), Submits: *n.intake.Times(), Busiest: n.load.load(), Spent: maps.Clone(n.spent),
+		Dependencies: DependencyCounts{n.waits.graph.Waiting(), n.waits.released, n.waits.cascaded}}
 	n.eachPart(func(p *part.Part) {
 		s.Parts = append(s.Parts, PartState{p.K, p.Token, len(p.Machines), len(p.Works), p.DeafOnes(), p.Silent()})
 		for id, why := range p.Waiting() {
--- a/internal/part/job.go
+++ b/internal/part/job.go
@@ -144,6 +144,8 @@
 	At     float64 `cbor:"at"`
 	// Done lists the tasks of a borrowed job that ended well; all, if it is done.
 	Done [][2]int `cbor:"d,omitempty"`
+	// Cause is the job with whose cancellation this one, which needed it, was withdrawn.
+	Cause string `cbor:"c,omitempty"`
 }
 
 // JobKey is where the state service keeps a live job's record.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -211,6 +211,10 @@
 	// Elsewhere is not in PROTOCOL (unknown fields are ignored): what runs, or
 	// waits, at partner clusters.
 	Elsewhere []Elsewhere `cbor:"elsewhere,omitempty"`
+	// Awaits lists what the job still waits for, Cause the job with whose cancellation it
+	// was withdrawn. Neither is in PROTOCOL's answers.
+	Awaits []string `cbor:"awaits,omitempty"`
+	Cause  string   `cbor:"cause,omitempty"`
 }
 
 // Elsewhere says why some of a job's tasks are at another cluster.
