--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -31,6 +31,16 @@
 	Slow    func(path string) time.Duration // how late an answer leaves; nil: at once
 	// What of the limits was used.
 	requests, changes budget
+	valueKB           float64
+	txnOps            int
+	TooLarge          []string // values and transactions that were refused as such
+}
+
+// Lower gives the service lower limits from now on, without notice. What is stored stays.
+func (st *State) Lower(valueKB float64, txnOps int, writeRPS float64) {
+	st.s.Trace("limits of the state service: values of %v KB, %d changes a transaction, %v a second", valueKB, txnOps, writeRPS)
+	st.valueKB, st.txnOps = valueKB, txnOps
+	st.changes.rate, st.changes.burst = writeRPS, writeRPS
 }
 
 // budget is a limit a second that allows bursts.
@@ -65,7 +75,7 @@
 func newState(s *Sim) *State {
 	d := &s.S.Deployment.State
 	st := &State{s: s, data: map[string]wire.Entry{}, grants: map[uint64]*grant{},
-		requests: newBudget(d.RPS, d.RPS), changes: newBudget(d.WriteRPS, d.WriteRPS)}
+		requests: newBudget(d.RPS, d.RPS), changes: newBudget(d.WriteRPS, d.WriteRPS), valueKB: d.ValueKB, txnOps: d.TxnOps}
 	st.Addr = s.listen(s.addr("state"), st.serve)
 	return st
 }
@@ -180,11 +190,15 @@
 
 func (st *State) multi(body []byte, reply func(int, any)) {
 	var t wire.Txn
-	d := &st.s.S.Deployment.State
-	if wire.Decode(body, &t) != nil || len(t.Apply) > d.TxnOps || len(t.When) > 4*d.TxnOps || len(body) > 64<<10 {
+	if wire.Decode(body, &t) != nil {
 		reply(400, object{"error": "malformed"})
 		return
 	}
+	if why := st.tooLarge(&t, len(body)); why != "" {
+		st.TooLarge = append(st.TooLarge, why)
+		reply(400, object{"error": "too large"})
+		return
+	}
 	if !st.changes.take(st.s.now, len(t.Apply)) {
 		reply(429, nil)
 		return
@@ -211,10 +225,6 @@
 	}
 	for _, o := range t.Apply {
 		if o.Put != "" {
-			if float64(len(o.Value)) > d.ValueKB*1024 {
-				reply(400, object{"error": "too large"})
-				return
-			}
 			v := append(cbor.RawMessage(nil), o.Value...)
 			st.data[o.Put] = wire.Entry{Key: o.Put, Value: v, Stamp: st.rev, Lease: o.Lease}
 			st.log = append(st.log, wire.Change{Put: o.Put, Value: v, Stamp: st.rev})
@@ -233,6 +243,43 @@
 	}
 }
 
+// tooLarge says what of a transaction is above the limits; "": nothing.
+func (st *State) tooLarge(t *wire.Txn, size int) string {
+	if len(t.Apply) > st.txnOps || len(t.When) > 4*st.txnOps || size > 64<<10 {
+		return fmt.Sprintf("%d changes, %d conditions, %d bytes", len(t.Apply), len(t.When), size)
+	}
+	for _, o := range t.Apply {
+		var value any
+		if o.Put == "" || wire.Decode(o.Value, &value) != nil {
+			continue
+		}
+		if n := jsonSize(value); float64(n) > st.valueKB*1024 {
+			return fmt.Sprintf("%s has %d bytes", o.Put, n)
+		}
+	}
+	return ""
+}
+
+// jsonSize is about the size of a value in the form that limits are counted in.
+func jsonSize(value any) (n int) {
+	switch v := value.(type) {
+	case map[any]any:
+		for k, x := range v {
+			n += jsonSize(k) + jsonSize(x) + 2
+		}
+		return n + 2
+	case []any:
+		for _, x := range v {
+			n += jsonSize(x) + 1
+		}
+		return n + 2
+	case string:
+		return len(v) + 2
+	default:
+		return len(fmt.Sprint(v))
+	}
+}
+
 // kept is how many changes the service remembers for watches.
 const kept = 10000
 
--- a/internal/standin/sim.go
+++ b/internal/standin/sim.go
@@ -447,6 +447,7 @@
 	Off   float64 // how far its time of day is ahead, in seconds
 	Node  *node.Node
 	Full  bool // it has no socket left for users and workers
+	Old   bool // it says that it is of the version before
 
 	frozen bool
 	holds  bool     // what it was sending when it froze leaves when it goes on
@@ -541,6 +542,9 @@
 
 func (w *world) Send(member string, e *mesh.Envelope) {
 	e.From = w.h.name
+	if st := e.GetStatus(); st != nil && w.h.Old {
+		st.Version = 0
+	}
 	b, err := proto.Marshal(e)
 	if err != nil {
 		panic(err)
