--- a/cmd/curlew/dev.go
+++ b/cmd/curlew/dev.go
@@ -8,6 +8,7 @@
 	"io"
 	"maps"
 	"os"
+	"os/exec"
 	"os/signal"
 	"path/filepath"
 	"slices"
@@ -92,6 +93,7 @@
 	f.StringArrayVar(&kills, "kill", nil, "[CLUSTER/][HOST]@TIME[+TIME]: a controller, or all of a cluster, to die then, and to be back later")
 	f.IntVar(&load.jobs, "sample", 0, "submit this many sample jobs to each cluster, show them done, and end")
 	f.StringVar(&p.Program, "program", "", "the controller's program (default: beside this one, else built from source)")
+	f.StringVar(&p.Old, "old", "", "a program of another version with which all controllers begin; those that --kill has back come with --program")
 	f.StringVar(&p.LogLevel, "log-level", "info", "the controllers' LOG_LEVEL: error, info or debug")
 	f.IntVar(&load.tasks, "sample-tasks", 8, "tasks of each sample array")
 	f.Float64Var(&load.seconds, "sample-seconds", 4, "expected run time of the samples' tasks")
@@ -117,6 +119,11 @@
 	if p.Program, err = dev.Program(p.Program, p.Dir, p.Say); err != nil {
 		return err
 	}
+	if p.Old != "" {
+		if p.Old, err = exec.LookPath(p.Old); err != nil {
+			return err
+		}
+	}
 	d, err := dev.Start(p)
 	if err != nil {
 		return err
--- a/cmd/curlew/main_test.go
+++ b/cmd/curlew/main_test.go
@@ -38,6 +38,7 @@
 		{"status --to 127.0.0.1:1", "requires at least 1 arg"},
 		{"dev --controllers 0", "out of range"},
 		{"dev --kill n1", "--kill"},
+		{"dev --old nothing", "nothing"},
 		{"audit nothing.jsonl", "nothing.jsonl"},
 		{"keys cert --cluster West", "must be 1 to 20"},
 		{"keys show nothing.pem", "nothing.pem"},
--- a/internal/dev/dev.go
+++ b/internal/dev/dev.go
@@ -4,6 +4,7 @@
 package dev
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -33,8 +34,11 @@
 	Clusters    int
 	Dir         string // settings, logs and what the machines saw
 	Program     string // the controller's
-	LogLevel    string
-	Kills       []Kill
+	// Old is a program of another version: all controllers begin with it, and those that
+	// are killed come back with Program; "": there is none.
+	Old      string
+	LogLevel string
+	Kills    []Kill
 	// INI gives a cluster's operators' settings; "" or nil: none.
 	INI func(c *Cluster, all []*Cluster) (string, error)
 	// Say is told what happens.
@@ -89,13 +93,14 @@
 func (c *Cluster) Address() string { return c.Front.Addr }
 
 type proc struct {
-	name string
-	args []string
-	log  string
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	gone chan struct{} // closed when the process has ended
-	want bool          // it is to run
+	name    string
+	program string
+	args    []string
+	log     string
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	gone    chan struct{} // closed when the process has ended
+	want    bool          // it is to run
 }
 
 // Dev is what runs.
@@ -247,7 +252,7 @@
 		if err := os.WriteFile(file, b, 0o644); err != nil {
 			return err
 		}
-		p := &proc{name: c.Name + "/" + s.Name, args: []string{"--config", file}, log: filepath.Join(c.dir, s.Name+".log"), want: true}
+		p := &proc{name: c.Name + "/" + s.Name, program: cmp.Or(d.plan.Old, d.plan.Program), args: []string{"--config", file}, log: filepath.Join(c.dir, s.Name+".log"), want: true}
 		if text != "" {
 			ini := filepath.Join(c.dir, s.Name+".ini")
 			own := strings.ReplaceAll(text, "{listen}", c.Peers[i])
@@ -272,7 +277,10 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(d.plan.Program, p.args...)
+	p.mu.Lock()
+	program := p.program
+	p.mu.Unlock()
+	cmd := exec.Command(program, p.args...)
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.Env = append(os.Environ(), "LOG_LEVEL="+d.plan.LogLevel)
 	own(cmd)
@@ -385,7 +393,7 @@
 		}
 		for _, p := range list {
 			p.mu.Lock()
-			p.want = true
+			p.want, p.program = true, d.plan.Program
 			p.mu.Unlock()
 			if err := d.start(p); err != nil {
 				d.plan.Say("%s: %v", p.name, err)
