--- a/internal/node/dependencies.go
+++ b/internal/node/dependencies.go
@@ -30,6 +30,9 @@
 // releaseAgain is after how many heartbeats a release without a result is sent again.
 const releaseAgain = 12
 
+// mostReading bounds the ends that are read at once.
+const mostReading = 8
+
 func (n *Node) newDependencies() {
 	n.waits.graph = dependency.New(func(id string) bool {
 		_, ok := n.l.Get(part.JobKey(id))
@@ -108,8 +111,8 @@
 }
 
 func (n *Node) readEnd(id string) {
-	if n.waits.reading[id] {
-		return
+	if n.waits.reading[id] || len(n.waits.reading) >= mostReading {
+		return // when one of those under way is there, or at the next tick
 	}
 	n.waits.reading[id] = true
 	n.intake.ReadEnd(id, func(bool) {
