--- a/internal/standin/pipeline_test.go
+++ b/internal/standin/pipeline_test.go
@@ -107,6 +107,16 @@
 		s.Unsaid = true
 		s.refuseFor(at-1, at+6, theLeader)
 		s.At(at+1, func() { s.State.Outage(40 * time.Second) })
+		// Users ask everywhere as it comes back: cancel_s is over.
+		for k := range 60 {
+			s.At(at+40.9+float64(k)/20, func() {
+				for _, id := range slices.Sorted(maps.Keys(s.subs)) {
+					if s.told[id] != "" {
+						s.again(s.all[k%len(s.all)], "ask", s.subs[id])
+					}
+				}
+			})
+		}
 	},
 }
 
