--- a/internal/standin/pipeline_test.go
+++ b/internal/standin/pipeline_test.go
@@ -103,19 +103,20 @@
 	"written late":          func(s *Sim, at float64) { s.late(at-2, at+15, 0.5, 2, 12, "/multi") },
 	"answers lost":          func(s *Sim, at float64) { s.late(at-2, at+15, 0.7, 0.001, 0.003, "/multi") },
 	"leaders end":           func(s *Sim, at float64) { s.quick(at, 0.3, s.leader); s.quick(at+1.5, 5, s.leader) },
-	"refused alone, then down for all": func(s *Sim, at float64) {
+	// The leader is refused alone as well, and no controller hears of the cancellation from
+	// another. Users ask everywhere as the service comes back: cancel_s is over.
+	"down as the cancellation is confirmed": func(s *Sim, at float64) {
 		s.Unsaid = true
-		s.refuseFor(at-1, at+6, theLeader)
-		s.At(at+1, func() { s.State.Outage(40 * time.Second) })
-		// Users ask everywhere as it comes back: cancel_s is over.
-		for k := range 60 {
-			s.At(at+40.9+float64(k)/20, func() {
-				for _, id := range slices.Sorted(maps.Keys(s.subs)) {
-					if s.told[id] != "" {
-						s.again(s.all[k%len(s.all)], "ask", s.subs[id])
-					}
-				}
-			})
+		s.refuseFor(at-0.5, at+6, theLeader)
+		s.OnTold = func(_, status string) {
+			if status != wire.Withdrawn || s.State.Down {
+				return
+			}
+			s.OnTold = nil
+			s.State.Outage(40 * time.Second)
+			for k := range 60 {
+				s.after(39900*time.Millisecond+time.Duration(k)*20*time.Millisecond, func() { s.askForAll(s.all[k%len(s.all)]) })
+			}
 		}
 	},
 }
@@ -164,6 +165,15 @@
 	}
 }
 
+// askForAll asks a controller about all jobs that were accepted.
+func (s *Sim) askForAll(node string) {
+	for _, id := range slices.Sorted(maps.Keys(s.subs)) {
+		if s.told[id] != "" {
+			s.again(node, "ask", s.subs[id])
+		}
+	}
+}
+
 // randomPipelines submits some pipelines of random form: each stage needs one to three of
 // those before it; some stages are cancelled, late, or need something that is long over.
 func (s *Sim) randomPipelines(r *rand.Rand) {
