--- a/internal/standin/echo_test.go
+++ b/internal/standin/late_writes_test.go
@@ -2,30 +2,166 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
+	"curlewspool/internal/mesh"
 	"curlewspool/internal/part"
 	"curlewspool/internal/wire"
 )
 
-// Meetings of what is told late with what has become of it meanwhile: answers, news and
-// reports that are true of a moment that is over (docs/recovery.md, "Meetings").
+// Transactions that are carried out late, after newer ones, or answered late.
 
-// slowAt has the state service carry out requests at once and answer those for the path
-// up to so many seconds late.
-func (s *Sim) slowAt(path string, r *rand.Rand, from, to, most float64) {
-	s.At(from, func() {
-		s.State.Slow = func(p string) time.Duration {
-			if !strings.HasPrefix(p, path) {
-				return 0
+// A part is taken by force from an owner that is well and learns of it late (its
+// requests for changes get no answer for some seconds), and in between a single task
+// that may be anywhere is accepted by that owner: the answer to its own write is its
+// only news. The taker, for whom the record is newer than its key, starts the task at
+// once. Found by reading: both started it.
+func TestTakenBeforeItsRecord(t *testing.T) {
+	for seed := uint64(720); seed < 740; seed++ {
+		s := New(seed)
+		s.API()
+		w := fleet(s, 9, 0)
+		for _, n := range s.all {
+			s.Nodes[n].set.Dispatch.Anywhere = 0
+		}
+		s.Submit(5, Spec("wk-1", wire.Array, 3, 1, 4, nil))
+		var old *Host
+		taker, k := "", int32(0)
+		s.At(11, func() {
+			old = s.owner()
+			k = int32(old.Node.Describe().Parts[0].Part)
+			for _, n := range s.all {
+				if h := s.Nodes[n]; h != old && h != s.leader() {
+					taker = n
+				}
 			}
-			return time.Duration((0.2 + (most-0.2)*r.Float64()) * float64(time.Second))
+			if taker == "" || old == s.leader() {
+				t.Fatal("no controllers to play it with")
+			}
+			for _, x := range w[:6] { // the old owner alone reaches most machines
+				if s.holder(x) == old {
+					s.cut(x.Addr(), taker)
+					s.cut(x.Addr(), s.api(taker))
+				}
+			}
+			s.Late = append(s.Late, func(from, path string, _ []byte) (time.Duration, bool) {
+				return 0, s.now < 15*time.Second && from == old.name && strings.HasPrefix(path, "/changes")
+			})
+		})
+		s.Submit(11.05, Spec("wk-2", wire.Array, 1, 1, 4, nil)) // ends the watch that is open
+		s.At(11.5, func() {
+			s.Nodes[taker].Node.Heard(&mesh.Envelope{From: s.leader().name, Body: &mesh.Envelope_Assign{Assign: &mesh.Assign{Part: k}}})
+		})
+		for i := range 6 {
+			id := fmt.Sprintf("wk-s%d", i)
+			s.At(11.55+float64(i)/20, func() {
+				sub := Spec(id, wire.Array, 1, 1, 20, nil)
+				s.jobs[id], _ = sub.Check()
+				s.call("user", s.api(old.name), "POST", "/v2/runs", sub, nil, 5*time.Second, func(status int) {
+					s.Trace("%s accepted: %d", id, status)
+				})
+			})
 		}
-	})
-	s.At(to, func() { s.State.Slow = nil })
+		s.Start()
+		s.Run(60)
+		for _, b := range s.Broken {
+			t.Errorf("seed %d: rule broken: %s", seed, b)
+		}
+		if !strings.Contains(s.Text(), "starts wk-s0/0") || !strings.Contains(s.Text(), "starts wk-s5/0") {
+			t.Errorf("seed %d: not all of the single tasks started", seed)
+		}
+	}
+}
+
+// writes are the kinds of transactions, told by what they change.
+var writes = []struct {
+	name string
+	is   func(o []wire.Op) bool
+}{
+
+	{"an acceptance or a move", func(o []wire.Op) bool { return puts(o, "a/j/") }},
+	{"an end", func(o []wire.Op) bool { return puts(o, "d/") }},
+	{"progress", func(o []wire.Op) bool { return puts(o, "a/p/") }},
+	{"progress that is removed", func(o []wire.Op) bool { return deletes(o, "a/p/") }},
+	{"a roster", func(o []wire.Op) bool { return puts(o, "a/m/") }},
+	{"a claim and its token", func(o []wire.Op) bool { return puts(o, "a/o/") && puts(o, "a/c/") }},
+	{"a release", func(o []wire.Op) bool { return deletes(o, "a/o/") }},
+	{"a sign of life", func(o []wire.Op) bool { return puts(o, "a/h/") }},
+}
+
+func puts(ops []wire.Op, under string) bool {
+	return slices.ContainsFunc(ops, func(o wire.Op) bool { return strings.HasPrefix(o.Put, under) })
+}
+
+func deletes(ops []wire.Op, under string) bool {
+	return slices.ContainsFunc(ops, func(o wire.Op) bool { return strings.HasPrefix(o.Delete, under) })
+}
+
+// Each kind of write late by 2 to 12 s, alone and in pairs: half of those that are made
+// in 30 s get no answer, while parts change hands by a refusal, a crash and a release,
+// machines are rented and lent, and jobs are accepted, moved, cancelled and done.
+func TestLateWrites(t *testing.T) {
+	if testing.Short() {
+		t.Skip("some seconds")
+	}
+	seen := map[string]int{}
+	for i := range writes {
+		for k := i; k < len(writes); k++ {
+			name := writes[i].name + " and " + writes[k].name
+			s := New(uint64(900 + 10*i + k))
+			s.API()
+			w := workday(s)
+			s.Cloud.Left["small/a/false"] = 3
+			s.Late = append(s.Late, func(_, path string, body []byte) (time.Duration, bool) {
+				var x wire.Txn
+				if path != "/multi" || s.now < 7*time.Second || s.now > 37*time.Second || wire.Decode(body, &x) != nil {
+					return 0, false
+				}
+				for _, kind := range []int{i, k} {
+					if writes[kind].is(x.Apply) && s.rnd.IntN(2) == 0 {
+						seen[writes[kind].name]++
+						return time.Duration((2 + 10*s.rnd.Float64()) * float64(time.Second)), true
+					}
+				}
+				return 0, false
+			})
+			s.Submit(8, Spec("wk-4", wire.Array, 12, 1, 8, nil))
+			s.Submit(10, Spec("wk-5", wire.Gang, 5, 4, 6, nil)) // larger than a part
+			s.Submit(12, Spec("wk-6", wire.Array, 30, 1, 6, nil))
+			s.Submit(15, Spec("wk-7", wire.Array, 6, 1, 40, nil))
+			s.Abort(20, "wk-7")
+			s.cutFor(9, 30, [][2]string{{"n0", "n2"}}) // signs of life
+			s.At(11, func() { s.Refuse("n1", "state", true) })
+			s.At(17, func() { s.Refuse("n1", "state", false) })
+			s.At(14, func() { w[5].Die() })
+			s.quick(22, 0.5, s.owner)
+			s.quick(28, 4, s.leader)
+			s.Start()
+			s.Run(200)
+			for _, b := range s.Broken {
+				t.Errorf("%s: rule broken: %s", name, b)
+			}
+			for _, id := range []string{"wk-1", "wk-2", "wk-4", "wk-5", "wk-6"} {
+				if got := s.Told(id); got != wire.Done {
+					t.Errorf("%s: %s is %q", name, id, got)
+				}
+			}
+			for _, id := range []string{"wk-3", "wk-7"} {
+				if got := s.Told(id); got != wire.Withdrawn {
+					t.Errorf("%s: %s is %q, was to be cancelled", name, id, got)
+				}
+			}
+		}
+	}
+	for _, kind := range writes {
+		if seen[kind.name] == 0 {
+			t.Errorf("no write was late that is %s", kind.name)
+		}
+	}
+	t.Logf("late: %v", seen)
 }
 
 // onMove calls f at once for each job of which a chunk moves, from a time on.
@@ -58,97 +194,6 @@
 	}
 }
 
-// uncurrent lists what controllers have in their caches that the state service does not
-// have, or has otherwise, and what their parts have of jobs that are over, when all has
-// been calm for long.
-func (s *Sim) uncurrent() (wrong []string) {
-	for _, n := range s.names() {
-		l := s.Nodes[n].Node.Ledger()
-		mine := 0
-		for _, k := range s.State.keys("a/") {
-			mine++
-			if e, ok := l.Get(k); !ok || e.Stamp != s.State.data[k].Stamp {
-				wrong = append(wrong, fmt.Sprintf("%s has not %s as it is", n, k))
-			}
-		}
-		if l.Loaded() && l.Cached() > mine {
-			wrong = append(wrong, fmt.Sprintf("%s has %d keys, there are %d", n, l.Cached(), mine))
-		}
-		for _, p := range s.Nodes[n].Node.Describe().Parts {
-			if p.Jobs > len(s.State.keys(part.JobKey(""))) {
-				wrong = append(wrong, fmt.Sprintf("part %d of %s has %d jobs, there are %d", p.Part, n, p.Jobs, len(s.State.keys(part.JobKey("")))))
-			}
-		}
-	}
-	return wrong
-}
-
-// echoes are the same for random days; see meetings.
-var echoes = []meeting{
-	{"transactions are answered late", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
-		s.slowAt("/multi", r, 1, at+3*length, 0.2+1.6*r.Float64())
-	}},
-	{"news are told late", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
-		s.slowAt("/changes", r, at, at+2*length, 0.2+2.2*r.Float64())
-	}},
-	{"answers to transactions are lost, and users ask everywhere", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
-		s.late(at, at+2*length, 0.2+0.6*r.Float64(), 0.001, 0.01, "/multi")
-		for i := range 12 {
-			id := fmt.Sprintf("wk-%d", 1+i%5)
-			s.At(at+2*length*r.Float64(), func() {
-				j := s.jobs[id]
-				if j == nil || s.told[id] == "" {
-					return // a repetition holds what the first one did
-				}
-				sub := Spec(id, j.Shape, j.Tasks, j.Cores, j.Estimate, nil)
-				for k, what := range []string{[]string{"cancel", "submit", "ask"}[r.IntN(3)], "ask", "submit", "ask"} {
-					s.after(time.Duration(float64(k)*0.3*r.Float64()*float64(time.Second)), func() { s.again(s.all[r.IntN(3)], what, sub) })
-				}
-			})
-		}
-	}},
-	{"jobs are called off as they move", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
-		s.Unsaid = r.IntN(2) == 0
-		arrays(s, "wk-m", at-2, 4+r.IntN(4), 2+r.IntN(3), 3+12*r.Float64())
-		s.onMove(at-2, func(id string) {
-			if r.IntN(2) == 0 {
-				s.after(time.Duration(r.Float64()*r.Float64()*float64(time.Second)), func() { s.abort(id) })
-			}
-		})
-	}},
-	{"old reports reach every controller as a new leader begins", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
-		var old [][]byte
-		s.Late = append(s.Late, func(_, path string, body []byte) (time.Duration, bool) {
-			if now := s.now.Seconds(); path == "/v1/report" && now > at-6 && now < at {
-				old = append(old, append([]byte(nil), body...))
-			}
-			return 0, false
-		})
-		s.quick(at, 0.2+2*length*r.Float64(), s.leader)
-		for range 12 { // some of them as it begins, whoever it is
-			s.At(at+s.S.Deployment.Workers.Lease*r.Float64(), func() {
-				for range min(len(old), 8) {
-					body := old[r.IntN(len(old))]
-					for _, n := range s.names() {
-						s.serve[s.api(n)]("POST", "/v1/report", body, func(int, any) {})
-					}
-				}
-			})
-		}
-	}},
-	{"machines are up at once while writes lag, and the leader ends", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
-		s.late(at-1, at+length, 0.3+0.4*r.Float64(), 0.5, 8, "/multi")
-		for range 2 + r.IntN(3) {
-			s.At(at+2*r.Float64(), func() { s.AddWorker("small", []string{"a", "b"}[r.IntN(2)], r.IntN(2) == 0) })
-		}
-		arrays(s, "wk-n", at, 3, 4, 3+6*r.Float64())
-		s.quick(at+3*r.Float64(), 0.1+length*r.Float64(), s.leader)
-	}},
-}
-
-// And with those.
-func TestRandomEchoes(t *testing.T) { randomDays(t, *firstDay+echoDays) }
-
 // A chunk moves to another part, the state service carries that out at once and answers
 // late, and in between the job is called off through another controller. The mover, who
 // had been told of the deletion, took the answer for news: the job lived on in its cache
