standin: combined failures by the field's names

meetings, encounters, echoes and gap become delayedMessages, unreachableMachines, staleAnswers and refusedThenDown; kept traces meeting-* become combined-*, their content as it was.

--- a/internal/standin/combined_test.go
+++ b/internal/standin/combined_test.go
@@ -12,9 +12,9 @@
 	"curlewspool/internal/wire"
 )
 
-// combinedFailures are the users' second list for random days (see meetings): each is
+// combinedFailures are the users' second list for random days (see delayedMessages): each is
 // two or three troubles in the same moments, and random days have others beside them.
-var combinedFailures = []meeting{
+var combinedFailures = []combinedFailure{
 	{"users ask all nodes within milliseconds", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
 		s.At(at, func() { s.askEverywhere(r, 0.2) })
 		s.At(at+4*length, func() { s.OnTold = nil })
--- a/internal/standin/job_end_test.go
+++ b/internal/standin/job_end_test.go
@@ -78,7 +78,7 @@
 		}
 	}
 	if ends[wire.Done] < 50 || ends[wire.Withdrawn] < 50 {
-		t.Errorf("ends %v: the meeting was not met", ends)
+		t.Errorf("ends %v: too few to tell", ends)
 	}
 	t.Logf("ends: %v", ends)
 }
--- a/internal/standin/kept_days_test.go
+++ b/internal/standin/kept_days_test.go
@@ -11,10 +11,10 @@
 
 // Days on which two failures combine, each short enough to be read.
 
-// Each meeting once, short enough to be read. All is done or cancelled in the end, no
+// Each combination once, short enough to be read. All is done or cancelled in the end, no
 // rule breaks, nothing is forgotten.
-func TestMeetings(t *testing.T) {
-	keptDays(t, "meeting-", 756, 260, 70, nil, []keptDay{
+func TestCombinedFailureDays(t *testing.T) {
+	keptDays(t, "combined-", 756, 260, 70, nil, []keptDay{
 		// Launches and halts reach their machine 5 s late, one of them after the session
 		// that they are for; answers of others are lost though they were carried out.
 		{"orders-held-up", func(s *Sim, w []*Worker) []string {
@@ -172,7 +172,7 @@
 }
 
 // Each once, to be read.
-func TestEncounters(t *testing.T) {
+func TestMoreCombinedFailureDays(t *testing.T) {
 	low := func(x *wire.Submission) {
 		m, v := 4.0, 1.0
 		x.Mark, x.Stow, x.Rank = &m, &v, text("best_effort")
@@ -180,7 +180,7 @@
 	high := func(x *wire.Submission) { x.Rank = text("high") }
 	yes := true
 	together := func(x *wire.Submission) { x.Together = &yes }
-	keptDays(t, "meeting-", 780, 260, 150, nil, []keptDay{
+	keptDays(t, "combined-", 780, 260, 150, nil, []keptDay{
 		// Six jobs are called off within a fifth of a second while five of their machines
 		// hang; a moment later the state service refuses the leader alone, and a second
 		// later it is down for longer than cancel_s.
--- a/internal/standin/late_writes_test.go
+++ b/internal/standin/late_writes_test.go
@@ -357,6 +357,6 @@
 		}
 	}
 	if ends[wire.Done] < 3 {
-		t.Errorf("ends %v of cancellations that were late: the meeting was not met", ends)
+		t.Errorf("ends %v of cancellations that were late: too few to tell", ends)
 	}
 }
--- a/internal/standin/random_failures_test.go
+++ b/internal/standin/random_failures_test.go
@@ -11,8 +11,8 @@
 
 // Combined failures for random days.
 
-// encounters are the same for random days; see meetings.
-var encounters = []meeting{
+// unreachableMachines are the same for random days; see delayedMessages.
+var unreachableMachines = []combinedFailure{
 	{"called off as the leader is refused, then down for all", func(s *Sim, r *rand.Rand, w []*Worker, at, length float64) {
 		s.Unsaid = r.IntN(2) == 0
 		s.At(at, func() { // with half of the machines of each hung for a while, within its lease
@@ -116,8 +116,8 @@
 	}},
 }
 
-// echoes are the same for random days; see meetings.
-var echoes = []meeting{
+// staleAnswers are the same for random days; see delayedMessages.
+var staleAnswers = []combinedFailure{
 	{"transactions are answered late", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
 		s.slowAt("/multi", r, 1, at+3*length, 0.2+1.6*r.Float64())
 	}},
@@ -180,4 +180,4 @@
 }
 
 // And with those.
-func TestRandomEchoes(t *testing.T) { randomDays(t, *firstDay+echoDays) }
+func TestRandomStaleAnswers(t *testing.T) { randomDays(t, *firstDay+staleAnswerDays) }
--- a/internal/standin/random_test.go
+++ b/internal/standin/random_test.go
@@ -15,16 +15,16 @@
 var days = flag.Int("days", 80, "random days to play")
 var firstDay = flag.Int("first", 1, "the first one's seed")
 
-// meetingDays: from this seed on days have meetings.
-const meetingDays = 100000
+// delayedMessageDays: from this seed on days have combined failures.
+const delayedMessageDays = 100000
 
-// encounterDays: from this seed on those of encounter_test.go are among them.
-const encounterDays = 200000
+// unreachableDays: from this seed on also those with machines out of reach.
+const unreachableDays = 200000
 
-// echoDays: and those of echo_test.go.
-const echoDays = 300000
+// staleAnswerDays: and those with answers and news that are out of date.
+const staleAnswerDays = 300000
 
-// combinedDays: from this seed on days have those of combined_test.go, and no outage on the members' word.
+// combinedDays: and those of combined_test.go.
 const combinedDays = 500000
 
 // pipelineDays: and pipelines, whose stages are cancelled, late, or repeated.
@@ -171,14 +171,14 @@
 	}},
 }
 
-type meeting struct {
+type combinedFailure struct {
 	name string
 	do   func(s *Sim, r *rand.Rand, w []*Worker, at, length float64)
 }
 
-// meetings are what the users saw rules break by, where two troubles meet. Each is a
+// delayedMessages are what the users saw rules break by, where two troubles meet. Each is a
 // pair of them by itself; random days have two or three beside another trouble.
-var meetings = []meeting{
+var delayedMessages = []combinedFailure{
 	{"orders are held up", func(s *Sim, r *rand.Rand, _ []*Worker, at, length float64) {
 		s.late(at, at+length, 0.1+0.5*r.Float64(), 0.01, 12*r.Float64(), "/orders")
 	}},
@@ -246,7 +246,7 @@
 		})
 	}},
 	{"refused alone, then down for all", func(s *Sim, r *rand.Rand, w []*Worker, at, length float64) {
-		g := gap{refused: []func(*Sim) []string{theLeader, theLargest, both}[r.IntN(3)], length: length, outage: length * r.Float64(), back: r.IntN(3) == 0}
+		g := refusedThenDown{refused: []func(*Sim) []string{theLeader, theLargest, both}[r.IntN(3)], length: length, outage: length * r.Float64(), back: r.IntN(3) == 0}
 		if r.IntN(2) == 0 {
 			g.outage = 0
 		}
@@ -348,13 +348,13 @@
 		s.vouching()
 		script = append(script, s.outage(r, w, at+10*r.Float64()))
 	}
-	if seed >= meetingDays { // seldom from the first second: something is to be lost
-		seen, pool := map[string]bool{}, meetings
-		if seed >= encounterDays {
-			pool = slices.Concat(encounters, meetings)
+	if seed >= delayedMessageDays { // seldom from the first second: something is to be lost
+		seen, pool := map[string]bool{}, delayedMessages
+		if seed >= unreachableDays {
+			pool = slices.Concat(unreachableMachines, delayedMessages)
 		}
-		if seed >= echoDays { // half of what meets is of these
-			pool = slices.Concat(echoes, echoes, echoes, echoes, pool)
+		if seed >= staleAnswerDays { // half of what meets is of these
+			pool = slices.Concat(staleAnswers, staleAnswers, staleAnswers, staleAnswers, pool)
 		}
 		if seed >= combinedDays { // two of three
 			pool = slices.Concat(slices.Repeat(combinedFailures, 10), pool)
@@ -372,7 +372,7 @@
 		}
 	}
 	more := 2 + r.IntN(4)
-	if seed >= meetingDays {
+	if seed >= delayedMessageDays {
 		more /= 3
 	}
 	for range more {
@@ -389,7 +389,7 @@
 	s.watchWaiting()
 	s.Start()
 	s.Run(400)
-	return s, script, s.verdict(seed >= meetingDays)
+	return s, script, s.verdict(seed >= delayedMessageDays)
 }
 
 // verdict tells what was wrong with a day that is over: broken rules, what the users
@@ -443,8 +443,8 @@
 	}
 }
 
-// The same with meetings.
-func TestRandomMeetings(t *testing.T) { randomDays(t, *firstDay+meetingDays) }
+// The same with combined failures.
+func TestRandomDelayedMessages(t *testing.T) { randomDays(t, *firstDay+delayedMessageDays) }
 
 // Days that failed once, each of its own cause or mended together: kept.
 func TestFailedOnce(t *testing.T) {
@@ -463,7 +463,7 @@
 }
 
 // And with those of the users' letter that came later.
-func TestRandomEncounters(t *testing.T) { randomDays(t, *firstDay+encounterDays) }
+func TestRandomUnreachableMachines(t *testing.T) { randomDays(t, *firstDay+unreachableDays) }
 
 // An array that had started in a part stayed there, however few machines that had, though
 // others had room (day 10526: one machine for 16 tasks, beside idle ones that went back).
--- a/internal/standin/refused_then_down_test.go
+++ b/internal/standin/refused_then_down_test.go
@@ -14,12 +14,12 @@
 // Owners that the state service refuses alone, and then everybody, for longer than cancel_s,
 // while users cancel: the bound of a cancellation (docs/design.md).
 
-// gap is the users' meeting: the state service refuses some controllers alone, others
+// refusedThenDown is the users' combination: the state service refuses some controllers alone, others
 // confirm cancellations, and then it is down for all for longer than cancel_s, while
 // workers keep reporting to those. Times in seconds.
-type gap struct {
+type refusedThenDown struct {
 	refused func(s *Sim) []string // who is refused
-	length  float64               // for so long, from gapAt on
+	length  float64               // for so long, from refusedAt on
 	outage  float64               // all are from then on; 0: from right after a renewal of theirs on
 	twice   bool                  // all of it once more
 	only    bool                  // half of the machines reach only those
@@ -33,7 +33,7 @@
 	timing  func(s *Sim)
 }
 
-const gapAt = 20.0
+const refusedAt = 20.0
 
 // tight leaves a third as much for a grant as the lease: about as in the users' large
 // deployments. tighter leaves a tenth.
@@ -48,7 +48,7 @@
 	}
 }
 
-func (g *gap) play(seed uint64) *Sim {
+func (g *refusedThenDown) play(seed uint64) *Sim {
 	s := New(seed)
 	s.API()
 	if g.timing == nil {
@@ -72,12 +72,12 @@
 	for i, x := range at {
 		id := fmt.Sprintf("wk-%d", i+1)
 		s.Submit(4+float64(i)/4, Spec(id, wire.Array, 6, 1, 300, nil))
-		s.Abort(gapAt+x*g.length, id)
+		s.Abort(refusedAt+x*g.length, id)
 	}
-	s.Submit(gapAt-0.4, Spec("wk-9", wire.Array, 8, 0.5, 300, nil)) // on its way when it is cancelled
-	s.Abort(gapAt+0.2, "wk-9")
-	s.meet(g, w, gapAt, lasts)
-	end := gapAt + g.length + lasts
+	s.Submit(refusedAt-0.4, Spec("wk-9", wire.Array, 8, 0.5, 300, nil)) // on its way when it is cancelled
+	s.Abort(refusedAt+0.2, "wk-9")
+	s.meet(g, w, refusedAt, lasts)
+	end := refusedAt + g.length + lasts
 	if g.twice {
 		s.Submit(end+5, Spec("wk-7", wire.Array, 18, 1, 300, nil))
 		s.Submit(end+5, Spec("wk-8", wire.Array, 18, 1, 300, nil))
@@ -91,7 +91,7 @@
 	return s
 }
 
-func (s *Sim) meet(g *gap, w []*Worker, at, lasts float64) {
+func (s *Sim) meet(g *refusedThenDown, w []*Worker, at, lasts float64) {
 	down := false
 	if g.answers > 0 {
 		s.At(at-5, func() {
@@ -150,10 +150,10 @@
 // changes without an answer while renewals pass, clocks apart, and settings that leave
 // little for a grant. All that was confirmed is gone within cancel_s of true time, and
 // nothing of it starts later, also after the outage.
-func TestGap(t *testing.T) { gapSweep(t, 700, func(*Sim) {}) }
+func TestRefusedThenDown(t *testing.T) { refusedThenDownSweep(t, 700, func(*Sim) {}) }
 
-func gapSweep(t *testing.T, seed uint64, edit func(*Sim)) {
-	try := func(what string, g gap) {
+func refusedThenDownSweep(t *testing.T, seed uint64, edit func(*Sim)) {
+	try := func(what string, g refusedThenDown) {
 		seed++
 		g.edit = edit
 		s := g.play(seed)
@@ -171,23 +171,23 @@
 		for _, share := range []float64{0.1, 0.3, 0.6, 0.9, 1.1} {
 			for _, only := range []bool{false, true} {
 				what := fmt.Sprintf("%s refused for %.1f of the grant, only %v", name, share, only)
-				try(what+", down from a renewal on", gap{refused: who, length: share * life, only: only})
-				try(what+", twice", gap{refused: who, length: share * life, only: only, outage: share*life - 0.1, twice: true})
+				try(what+", down from a renewal on", refusedThenDown{refused: who, length: share * life, only: only})
+				try(what+", twice", refusedThenDown{refused: who, length: share * life, only: only, outage: share*life - 0.1, twice: true})
 			}
 		}
 		for _, slow := range []float64{2, 8, 30} {
-			try(fmt.Sprintf("%s refused, then without changes for %v s", name, slow), gap{refused: who, length: 3, slow: slow, only: slow > 5})
+			try(fmt.Sprintf("%s refused, then without changes for %v s", name, slow), refusedThenDown{refused: who, length: 3, slow: slow, only: slow > 5})
 		}
-		try(name+" back in the middle", gap{refused: who, length: 6, back: true, only: true})
+		try(name+" back in the middle", refusedThenDown{refused: who, length: 6, back: true, only: true})
 		for _, answers := range []float64{0.4, 1.4} {
-			try(fmt.Sprintf("%s refused, answers up to %v s late", name, answers), gap{refused: who, length: 9, answers: answers, only: true})
+			try(fmt.Sprintf("%s refused, answers up to %v s late", name, answers), refusedThenDown{refused: who, length: 9, answers: answers, only: true})
 		}
 		for _, held := range []float64{2, 9} {
-			try(fmt.Sprintf("%s refused, orders %v s late", name, held), gap{refused: who, length: 5, held: held, only: held > 5})
+			try(fmt.Sprintf("%s refused, orders %v s late", name, held), refusedThenDown{refused: who, length: 5, held: held, only: held > 5})
 		}
-		try(name+", clocks slow", gap{refused: who, length: 10, clocks: settings.Drift, only: true})
+		try(name+", clocks slow", refusedThenDown{refused: who, length: 10, clocks: settings.Drift, only: true})
 		for _, outage := range []float64{0, 1.5} {
-			try(name+", little time", gap{refused: who, length: 1.8, outage: outage, only: true, timing: (*Sim).tighter})
+			try(name+", little time", refusedThenDown{refused: who, length: 1.8, outage: outage, only: true, timing: (*Sim).tighter})
 		}
 	}
 }
@@ -195,12 +195,12 @@
 // Who is refused alone hears from the others what was cancelled: it halts that at once,
 // starts none of it and tells its users, however old its cache is and becomes. (Without
 // the word it went on starting tasks for report_s, and what ran went with its leases, up
-// to cancel_s later: TestGap has the word lost in all its days.)
+// to cancel_s later: TestRefusedThenDown has the word lost in all its days.)
 func TestWordOfACancellation(t *testing.T) {
 	without := time.Duration(0)
 	for seed := uint64(1200); seed < 1206; seed++ {
 		for _, said := range []bool{true, false} {
-			g := gap{refused: both, length: 5, outage: 4.5, said: said, timing: (*Sim).longLeases}
+			g := refusedThenDown{refused: both, length: 5, outage: 4.5, said: said, timing: (*Sim).longLeases}
 			s := g.play(seed)
 			for _, b := range s.Broken {
 				t.Errorf("seed %d: %s", seed, b)
@@ -224,10 +224,10 @@
 }
 
 // The users' sequence, to be read. Their own words: it broke most schedulers.
-func TestMeetingGap(t *testing.T) {
-	g := gap{refused: theLeader, length: 10, only: true}
+func TestRefusedThenDownTrace(t *testing.T) {
+	g := refusedThenDown{refused: theLeader, length: 10, only: true}
 	s := g.play(699)
-	same(t, "meeting-gap", s.Text())
+	same(t, "combined-refused-then-down", s.Text())
 	for _, b := range s.Broken {
 		t.Errorf("rule broken: %s", b)
 	}
--- a/internal/standin/vouch_test.go
+++ b/internal/standin/vouch_test.go
@@ -17,9 +17,9 @@
 	}
 }
 
-// The sweep of the users' meeting once more, with owners that go on through the outage on
+// The sweep of refusals and outages once more, with owners that go on through the outage on
 // the word of the others: what was confirmed is gone within cancel_s all the same.
-func TestVouchedGap(t *testing.T) { gapSweep(t, 1500, (*Sim).vouching) }
+func TestVouchedGap(t *testing.T) { refusedThenDownSweep(t, 1500, (*Sim).vouching) }
 
 // An outage of the state service for far longer than a grant and a lease. With the word
 // of all members nothing that runs is lost, and what was cancelled just before it is
@@ -142,7 +142,7 @@
 	}
 }
 
-// Random days on which they vouch, with the meetings that matter to it more often: an
+// Random days on which they vouch, with the combined failures that matter to it more often: an
 // outage longer than cancel_s on each, cancellations around its beginning and in it, and
 // parts that change hands shortly before.
 func TestRandomVouched(t *testing.T) { randomDays(t, *firstDay+vouchDays) }
