--- a/internal/standin/state_limits_test.go
+++ b/internal/standin/state_limits_test.go
@@ -36,7 +36,7 @@
 
 // The state service's limits come down without notice some time after an upgrade: a quarter
 // of the size of values, a third of the changes in a transaction, two thirds of the rate.
-// An array of 20,000 tasks runs all the while on 120 machines, whose rosters are larger than
+// An array of 20,000 tasks runs all the while on 220 machines, whose rosters are larger than
 // a value may be by then; machines come and go, jobs are accepted and cancelled. No value or
 // transaction is too large, whatever else happens then, and no machine is lost or kept.
 func TestLimitsComeDown(t *testing.T) {
@@ -70,9 +70,9 @@
 		s.history.Calm = 120 * time.Second
 		s.watchWaiting()
 		r := rand.New(rand.NewPCG(uint64(i), 17))
-		fleet(s, 120, 0)
+		fleet(s, 220, 0)
 		s.Cloud.Left["small/a/false"] = 30
-		s.Submit(6, Spec("wk-large", wire.Array, 20000, 1, 2, nil))
+		s.Submit(6, Spec("wk-large", wire.Array, 20000, 1, 4, nil))
 		for k := range 30 {
 			id, at := fmt.Sprintf("wk-%d", k), 8+3*float64(k)
 			s.Submit(at, Spec(id, wire.Array, 1+k%4, 1, 5, nil))
