--- a/internal/intake/dependent.go
+++ b/internal/intake/dependent.go
@@ -165,14 +165,7 @@
 		done(true)
 		return
 	}
-	in.h.Ledger().Fetch(part.FinalKey(id), func(status int, value []byte, _ uint64) {
-		var f part.Final
-		ok := status == 200 && wire.Decode(value, &f) == nil
-		if ok {
-			in.Over(id, f)
-		}
-		done(ok)
-	})
+	in.readFinal(id, func(status int, _ part.Final) { done(status == 200) })
 }
 
 // Cascade stores that a job which waits is withdrawn with one that it needs.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -493,13 +493,11 @@
 // settle: at least one of a batch is known. The ended are read; the rest are
 // looked for in a proven cache, and compared again if they are not there.
 func (in *Intake) settle(k *lookup) {
-	in.h.Ledger().Fetch(part.FinalKey(k.id), func(status int, value []byte, _ uint64) {
-		var f part.Final
-		switch {
-		case status == 200 && wire.Decode(value, &f) == nil:
-			in.Over(k.id, f)
+	in.readFinal(k.id, func(status int, f part.Final) {
+		switch status {
+		case 200:
 			k.final(f)
-		case status == 404:
+		case 404:
 			in.h.Ledger().Prove(func(ok bool) {
 				switch {
 				case !ok || k.tries > 3:
@@ -517,6 +515,21 @@
 	})
 }
 
+// readFinal reads a job's end, and remembers it. status 200: it has ended so; 404: it has
+// not; any other: not known.
+func (in *Intake) readFinal(id string, done func(status int, f part.Final)) {
+	in.h.Ledger().Fetch(part.FinalKey(id), func(status int, value []byte, _ uint64) {
+		var f part.Final
+		switch {
+		case status == 200 && wire.Decode(value, &f) == nil:
+			in.Over(id, f)
+		case status == 200:
+			status = 0
+		}
+		done(status, f)
+	})
+}
+
 // String says in one line how much is remembered and how many look-ups wait.
 func (in *Intake) String() string {
 	return fmt.Sprintf("%d ended jobs in memory, %d look-ups wait", in.finals.Len(), len(in.asked))
--- a/internal/standin/bad_request_test.go
+++ b/internal/standin/bad_request_test.go
@@ -19,10 +19,7 @@
 func TestBadRequestsAtEveryNode(t *testing.T) {
 	t.Parallel()
 	for seed := uint64(2900); seed < 2906; seed++ {
-		s := New(seed)
-		s.API()
-		s.history.Calm = 75 * time.Second
-		s.watchWaiting()
+		s := judged(seed, 75)
 		r := rand.New(rand.NewPCG(seed, 11))
 		fleet(s, 4, 0)
 		runs := Spec("wk-runs", wire.Array, 4, 1, 60, nil)
--- a/internal/standin/boot_test.go
+++ b/internal/standin/boot_test.go
@@ -5,7 +5,6 @@
 	"maps"
 	"slices"
 	"testing"
-	"time"
 
 	"curlewspool/internal/wire"
 )
@@ -29,10 +28,7 @@
 		for _, single := range []bool{false, true} {
 			for _, after := range []float64{0, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.5, 3, 6} { // the first rental
 				seed++
-				s := New(seed)
-				s.API()
-				s.history.Calm = 60 * time.Second
-				s.watchWaiting()
+				s := judged(seed, 60)
 				s.Cloud.Boots = 0.06
 				for _, z := range []string{"a", "b"} {
 					s.Cloud.Left["small/"+z+"/false"] = 5
--- a/internal/standin/helpers_test.go
+++ b/internal/standin/helpers_test.go
@@ -13,6 +13,16 @@
 
 // What days of several tests are made of: failures, questions of users, what is looked for.
 
+// judged is a deployment whose users see whether jobs wait beside room, once all troubles are
+// over, in seconds.
+func judged(seed uint64, calm float64) *Sim {
+	s := New(seed)
+	s.API()
+	s.history.Calm = time.Duration(calm * float64(time.Second))
+	s.watchWaiting()
+	return s
+}
+
 // late has a share of the requests to a path get no answer for a time, and be carried
 // out from least to most seconds later.
 func (s *Sim) late(from, to, share, least, most float64, paths ...string) {
--- a/internal/standin/late_command_test.go
+++ b/internal/standin/late_command_test.go
@@ -34,10 +34,7 @@
 		for _, late := range []float64{0.2, 0.7, 1.5, 3, 6, 11, 16} {
 			for _, cut := range []bool{false, true} { // a third of the machines from all others
 				seed++
-				s := New(seed)
-				s.API()
-				s.history.Calm = 70 * time.Second
-				s.watchWaiting()
+				s := judged(seed, 70)
 				w := fleet(s, 6, 0)
 				s.Cloud.Left["small/a/false"] = 4
 				s.Submit(5, Spec("wk-1", wire.Array, 20, 1, 2.5, nil))  // ends and begins all the time
--- a/internal/standin/leadership_test.go
+++ b/internal/standin/leadership_test.go
@@ -14,10 +14,7 @@
 // parts are owned within a lease and a half, no rule breaks and all is done.
 func TestBackInMidElection(t *testing.T) {
 	for i := range 32 {
-		s := New(uint64(1300 + i))
-		s.API()
-		s.history.Calm = 30 * time.Second
-		s.watchWaiting()
+		s := judged(uint64(1300+i), 30)
 		workday(s)
 		ids := append(burst(s, 11, 4, 6, 4), "wk-1", "wk-2")
 		at := 12 + 0.3*float64(i)
--- a/internal/standin/lost_answers_test.go
+++ b/internal/standin/lost_answers_test.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"testing"
-	"time"
 
 	"curlewspool/internal/wire"
 )
@@ -18,10 +17,7 @@
 	met := map[string]int{}
 	for k, kind := range writes {
 		for seed := uint64(2100); seed < 2103; seed++ {
-			s := New(seed + 10*uint64(k))
-			s.API()
-			s.history.Calm = 60 * time.Second
-			s.watchWaiting()
+			s := judged(seed+10*uint64(k), 60)
 			w := fleet(s, 6, 0)
 			s.Cloud.Left["small/a/false"] = 3
 			lost := s.lateWrites(7, 45, 0.7, 0.001, 0.003, kind.is)
--- a/internal/standin/pipeline_test.go
+++ b/internal/standin/pipeline_test.go
@@ -133,10 +133,7 @@
 		for _, stage := range []string{"first", "left", "join", "last"} {
 			for at := 8.9; at < 42; at += 3.4 {
 				seed++
-				s := New(seed)
-				s.API()
-				s.history.Calm = 110 * time.Second
-				s.watchWaiting()
+				s := judged(seed, 110)
 				fleet(s, 6, 0)
 				ids := s.pipeline(8, "wk-p")
 				s.Abort(at, "wk-p-"+stage)
--- a/internal/standin/stale_report_test.go
+++ b/internal/standin/stale_report_test.go
@@ -61,10 +61,7 @@
 					back = 9
 				}
 				seed++
-				s := New(seed)
-				s.API()
-				s.history.Calm = 60 * time.Second
-				s.watchWaiting()
+				s := judged(seed, 60)
 				w := fleet(s, 8, 0)
 				s.Submit(5, Spec("wk-1", wire.Array, 12, 1, 4, nil))  // done by then
 				s.Submit(6, Spec("wk-2", wire.Array, 12, 1, 30, nil)) // runs all the while
--- a/internal/standin/user_consistency_test.go
+++ b/internal/standin/user_consistency_test.go
@@ -58,10 +58,7 @@
 	looks, ends := 0, map[string]int{}
 	for _, name := range slices.Sorted(maps.Keys(troubles)) {
 		for seed := uint64(2000); seed < 2003; seed++ {
-			s := New(seed)
-			s.API()
-			s.history.Calm = 60 * time.Second
-			s.watchWaiting()
+			s := judged(seed, 60)
 			r := rand.New(rand.NewPCG(seed, 3))
 			fleet(s, 6, 0)
 			for i := range 16 {
