Dependencies: an end that could not be read is asked for again after a pause

Found by reading: while the state service refuses requests above its limit, or refuses all, the leader asked for the end of a needed job again as soon as the refusal was there: 2,513 times in 10 s (TestEndsAreAskedForAgainAfterPauses). Now after one to two heartbeats, with jitter.

--- a/internal/node/dependencies.go
+++ b/internal/node/dependencies.go
@@ -115,9 +115,16 @@
 		return // when one of those under way is there, or at the next tick
 	}
 	n.waits.reading[id] = true
-	n.intake.ReadEnd(id, func(bool) {
-		delete(n.waits.reading, id)
-		n.mindDependencies()
+	n.intake.ReadEnd(id, func(ok bool) {
+		if ok {
+			delete(n.waits.reading, id)
+			n.mindDependencies()
+			return
+		}
+		// A refusal is there in milliseconds: asking again at once would ask hundreds of
+		// times a second. Members do not come back in step.
+		pause := n.heartbeat() + time.Duration(n.w.Rand().Int64N(int64(n.heartbeat())))
+		n.w.After(pause, func() { delete(n.waits.reading, id) })
 	})
 }
 
--- a/internal/standin/awaits_test.go
+++ b/internal/standin/awaits_test.go
@@ -1,9 +1,11 @@
 package standin
 
 import (
+	"strings"
 	"testing"
 	"time"
 
+	"curlewspool/internal/part"
 	"curlewspool/internal/wire"
 )
 
@@ -88,6 +90,39 @@
 	}
 }
 
+// The end of a needed job is read while the state service refuses requests above its limit:
+// it is asked for again after pauses, not as soon as the refusal is there.
+func TestEndsAreAskedForAgainAfterPauses(t *testing.T) {
+	s := New(3320)
+	s.API()
+	fleet(s, 3, 0)
+	s.Submit(5, Spec("wk-a", wire.Array, 1, 1, 2, nil))
+	s.Submit(6, Spec("wk-b", wire.Array, 1, 1, 2, After("wk-a")))
+	asked, over := 0, false
+	s.OnCall = func(_, _, path string) {
+		if over && strings.HasPrefix(path, "/store/"+part.FinalKey("")) {
+			asked++
+		}
+	}
+	var look func()
+	look = func() {
+		if _, stored := s.State.data[part.FinalKey("wk-a")]; !stored {
+			s.after(time.Millisecond, look)
+			return
+		}
+		over = true
+		s.State.requests.rate, s.State.requests.left = 0, 0
+		s.after(10*time.Second, func() { over, s.State.requests.rate = false, s.S.Deployment.State.RPS })
+	}
+	s.At(6, look)
+	s.Start()
+	s.Run(60)
+	told(t, s, wire.Done, "wk-a", "wk-b")
+	if asked < 3 || asked > 60 {
+		t.Errorf("the ends were asked for %d times in 10 s of refusals", asked)
+	}
+}
+
 // While a controller that is heard says that it is of the version before, a submission that
 // awaits others gets 503, at every controller; once all are new it is accepted. One that is
 // of that version and is not heard is not waited for.
