--- a/internal/standin/judge.go
+++ b/internal/standin/judge.go
@@ -123,10 +123,13 @@
 		served := len(p.ended) == j.Tasks
 		count("class "+j.Class, served)
 		count("team "+j.Team, served)
-		if j.Tasks < most[j.Class] || len(j.Needs) > 0 { // those begin when others are done
+		if j.Tasks < most[j.Class] {
 			continue
 		}
 		count("largest of class "+j.Class, served)
+		if len(j.Needs) > 0 {
+			continue // they begin when others are done
+		}
 		begun := p.begun
 		if begun == 0 {
 			begun = now
