Simplify: the version that knows dependencies by its name, a job's tasks counted in one place

A later version would have taken peers of this one for old ones, as mesh.Version itself was compared. intake.withdraw counted tasks beside intake.tasks. No behaviour changes; kept traces as they were.

--- a/internal/intake/dependent.go
+++ b/internal/intake/dependent.go
@@ -170,5 +170,5 @@
 
 // Cascade stores that a job which waits is withdrawn with one that it needs.
 func (in *Intake) Cascade(id string, done func(ok bool)) {
-	in.storeWithdrawn(id, in.tasks(id), in.h.Dependencies().Cause(id), done, func() bool { return true })
+	in.storeWithdrawn(id, in.h.Dependencies().Cause(id), done, func() bool { return true })
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -358,10 +358,6 @@
 		later(reply, "try again")
 		return
 	}
-	tasks := 0
-	if rec := in.h.Job(id); rec != nil {
-		tasks = rec.Job.Tasks
-	}
 	answered := false
 	once := func(status int, body any, retry int) {
 		if !answered {
@@ -370,7 +366,7 @@
 		}
 	}
 	in.w.After(3*time.Second, func() { once(503, &wire.Problem{Error: "state service slow"}, pause) })
-	in.storeWithdrawn(id, tasks, "", func(ok bool) {
+	in.storeWithdrawn(id, "", func(ok bool) {
 		if ok {
 			once(200, &wire.JobState{ID: id, Status: wire.Withdrawn}, 0)
 			return
@@ -386,8 +382,8 @@
 
 // storeWithdrawn stores that a job is cancelled, by its user or, if cause is not empty,
 // with another. refused: see ledger.Write.
-func (in *Intake) storeWithdrawn(id string, tasks int, cause string, done func(ok bool), refused func() bool) {
-	l := in.h.Ledger()
+func (in *Intake) storeWithdrawn(id, cause string, done func(ok bool), refused func() bool) {
+	l, tasks := in.h.Ledger(), in.tasks(id)
 	var f part.Final
 	l.Write(ledger.Urgent, &ledger.Write{
 		Build: func(nonce string) ([]wire.Cond, []wire.Op) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -23,7 +23,10 @@
 //
 //	0  all before there were versions
 //	1  jobs that need others; a group's machines may move from one key to another
-const Version = 1
+const Version = VersionDependencies
+
+// VersionDependencies is the first that understands what stands at 1.
+const VersionDependencies = 1
 
 // maxFrame bounds what a member may make us hold.
 const maxFrame = 1 << 20
--- a/internal/node/dependencies.go
+++ b/internal/node/dependencies.go
@@ -48,7 +48,7 @@
 // need others. One that is not heard is not waited for: it finds a record without parts.
 func (n *Node) TakesDependencies() bool {
 	for name, p := range n.peers {
-		if p.status != nil && n.heard(name) && p.status.GetVersion() < mesh.Version {
+		if p.status != nil && n.heard(name) && p.status.GetVersion() < mesh.VersionDependencies {
 			return false
 		}
 	}
@@ -67,7 +67,7 @@
 	}
 	knows := func(name string) bool {
 		p := n.peers[name]
-		return p != nil && p.status != nil && n.heard(name) && p.status.Ready && p.status.GetVersion() >= mesh.Version
+		return p != nil && p.status != nil && n.heard(name) && p.status.Ready && p.status.GetVersion() >= mesh.VersionDependencies
 	}
 	if knows(n.book.Owner(lead.Leader)) {
 		return false
--- a/internal/node/roster.go
+++ b/internal/node/roster.go
@@ -9,6 +9,7 @@
 
 	"curlewspool/internal/lead"
 	"curlewspool/internal/ledger"
+	"curlewspool/internal/mesh"
 	"curlewspool/internal/part"
 	"curlewspool/internal/wire"
 )
@@ -156,7 +157,7 @@
 		if o == "" || o == n.s.Name {
 			continue
 		}
-		if p := n.peers[o]; p == nil || p.status.GetVersion() < 1 {
+		if p := n.peers[o]; p == nil || p.status.GetVersion() < mesh.VersionDependencies {
 			return false
 		}
 	}
