--- a/review/_standin/cases.go
+++ b/review/_standin/cases.go
@@ -37,7 +37,7 @@
 	c.addMachine(build, zone, spot, c.started.Add(-time.Hour), 0)
 }
 
-// waitDone polls a job each second until it is done.
+// waitDone polls a job twice a second until it is done.
 func (c *Cluster) waitDone(job *Job, limit time.Duration) {
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(500 * time.Millisecond) {
 		if _, state := c.poll(job); state == "done" {
