controller: log and serve what keeps the event loop busy

Cause: commands of the event loop had no kind, nothing watched how long one ran, and every debug page waits for the event loop itself.

Change: each command has a kind (request route, answer, peer message, timer's function). A watchdog logs 'controller: event loop blocked' with the command, the shard's operation, the job or machine and the functions on the loop's stack, from 1 s (the timeout of GET /up) and at each doubling; a slow command that ends is logged too. GET /debug/eventloop answers without the event loop; 'curlewspool status' falls back to it and 'curlewctl metrics' exports it.

--- a/cmd/curlewctl/metrics.go
+++ b/cmd/curlewctl/metrics.go
@@ -92,7 +92,7 @@
 	return prometheus.NewDesc("curlewspool_"+name, help, append([]string{"controller"}, labels...), nil)
 }
 
-// readyDesc describes the only metric that is also sent for controllers that do not answer.
+// readyDesc describes the only metric that is also sent for controllers that do not answer at all.
 var readyDesc = newDesc("ready", "1 if the controller is ready")
 
 // gauges lists the metrics that have a single value. The function value computes this value from a
@@ -130,6 +130,12 @@
 	submissionDesc = newDesc("submission_seconds", "Latency of the submissions accepted since the process started, by stage", "part")
 	costDesc       = newDesc("spent", "Cost of machines that the controller owned since the process started, by cause, in the catalog's currency", "cause")
 
+	queuedCommandsDesc    = newDesc("event_loop_queued", "Commands that wait for the controller's event loop")
+	runningSecondsDesc    = newDesc("event_loop_running_seconds", "For how long the event loop has run its current command", "command")
+	commandCountDesc      = newDesc("event_loop_commands_total", "Commands that the event loop has run since the process started", "command")
+	commandSecondsDesc    = newDesc("event_loop_command_seconds_total", "Time that the event loop has spent on commands since the process started", "command")
+	commandMaxSecondsDesc = newDesc("event_loop_command_max_seconds", "Longest command since the process started", "command")
+
 	remoteChunksDesc     = newDesc("federation_away", "Chunks offloaded to partner clusters", "partner")
 	hostedLeasesDesc     = newDesc("federation_borrowed", "Remote leases under which this cluster runs chunks of partner clusters")
 	federationEventsDesc = newDesc("federation_events_total", "Remote leases by outcome, counted since the process started", "what")
@@ -170,15 +176,19 @@
 	for _, desc := range []*prometheus.Desc{
 		readyDesc, liveJobsDesc, machinesDesc, waitingJobsDesc, unreachableDesc, unresponsiveDesc, isolatedDesc,
 		submissionDesc, costDesc, peakLoadDesc, dependentJobsDesc, remoteChunksDesc, hostedLeasesDesc, federationEventsDesc,
+		queuedCommandsDesc, runningSecondsDesc, commandCountDesc, commandSecondsDesc, commandMaxSecondsDesc,
 	} {
 		descs <- desc
 	}
 }
 
-// Collect sends the metrics of all controllers. For a controller that does not answer it sends only
-// readyDesc, with the value 0.
+// Collect sends the metrics of all controllers. For a controller whose event loop does not answer it
+// sends only readyDesc, with the value 0, and the metrics of the event loop.
 func (c *collector) Collect(metrics chan<- prometheus.Metric) {
 	for _, address := range c.addresses {
+		if loop, err := controller.FetchEventLoopState(address); err == nil {
+			collectEventLoop(metrics, address, loop)
+		}
 		state, err := controller.FetchState(address)
 		if err != nil || !state.Ready {
 			sendGauge(metrics, readyDesc, 0, address)
@@ -220,6 +230,19 @@
 	}
 }
 
+// collectEventLoop sends the metrics of a controller's event loop.
+func collectEventLoop(metrics chan<- prometheus.Metric, address string, loop *controller.EventLoopState) {
+	sendGauge(metrics, queuedCommandsDesc, float64(loop.QueuedCommands), address)
+	if loop.Running != "" {
+		sendGauge(metrics, runningSecondsDesc, loop.RunningSeconds, address, loop.Running)
+	}
+	for _, command := range loop.Commands {
+		sendCounter(metrics, commandCountDesc, float64(command.Count), address, command.Command)
+		sendCounter(metrics, commandSecondsDesc, command.TotalSeconds, address, command.Command)
+		sendGauge(metrics, commandMaxSecondsDesc, command.MaxSeconds, address, command.Command)
+	}
+}
+
 // collectFederation sends the metrics of remote leases for a controller whose cluster has partners.
 func collectFederation(metrics chan<- prometheus.Metric, address string, view *federation.View) {
 	chunksByPartner := map[string]int{}
--- a/cmd/curlewspool/main.go
+++ b/cmd/curlewspool/main.go
@@ -3,7 +3,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"os"
 	"runtime"
@@ -69,16 +71,30 @@
 		RunE: func(command *cobra.Command, args []string) error {
 			s, err := controller.FetchState(args[0])
 			if err != nil {
-				return err
+				return errors.Join(err, printEventLoopState(command.OutOrStdout(), args[0]))
 			}
-			encoder := json.NewEncoder(command.OutOrStdout())
-			encoder.SetIndent("", "  ")
-			return encoder.Encode(s)
+			return printJSON(command.OutOrStdout(), s)
 		},
 	})
 	return root
 }
 
+// printEventLoopState prints what the event loop of a controller is busy with. The controller
+// answers this also while it answers nothing else.
+func printEventLoopState(out io.Writer, address string) error {
+	state, err := controller.FetchEventLoopState(address)
+	if err != nil {
+		return nil // the error of the first request says as much
+	}
+	return printJSON(out, state)
+}
+
+func printJSON(out io.Writer, value any) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
+
 // loadSettings loads the settings from both files and logs their warnings.
 func loadSettings(config, ini string) (*settings.Settings, error) {
 	if config == "" {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -82,6 +82,7 @@
 	machineCallsInFlight int
 	placement            jobPlacement
 	cost                 machineCost // cost since this controller started
+	onActivity           func(shard.Activity)
 
 	// Used by the leader only.
 	autoscaler     *autoscaler.Autoscaler // nil unless this controller is the leader
@@ -111,6 +112,7 @@
 		members:         newMembership(metered, cfg),
 		placement:       newJobPlacement(cfg),
 		cost:            machineCost{byCause: shard.CostByCause{}},
+		onActivity:      func(shard.Activity) {},
 	}
 	c.arrivals = autoscaler.NewArrivalRate(4 * c.machineLease())
 	c.store = c.newStore()
--- a/internal/controller/debugstate.go
+++ b/internal/controller/debugstate.go
@@ -115,13 +115,31 @@
 // FetchState requests the state of the controller at address. It returns an error if the
 // controller does not answer or if the answer is not a state.
 func FetchState(address string) (*State, error) {
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+address+debugStatePath, debugStateTimeout)
+	state := &State{}
+	if err := fetchDebug(address, debugStatePath, state); err != nil {
+		return nil, err
+	}
+	return state, nil
+}
+
+// FetchEventLoopState requests the state of the event loop of the controller at address. The
+// controller also answers while its event loop is blocked.
+func FetchEventLoopState(address string) (*EventLoopState, error) {
+	state := &EventLoopState{}
+	if err := fetchDebug(address, eventLoopPath, state); err != nil {
+		return nil, err
+	}
+	return state, nil
+}
+
+// fetchDebug requests a path of the controller at address and decodes the answer into state.
+func fetchDebug(address, path string, state any) error {
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+address+path, debugStateTimeout)
 	if err != nil {
-		return nil, fmt.Errorf("%s does not answer: %w", address, err)
+		return fmt.Errorf("%s does not answer: %w", address, err)
 	}
-	state := &State{}
 	if status != http.StatusOK || protocol.Decode(body, state) != nil {
-		return nil, fmt.Errorf("%s answers %d, not a controller's state", address, status)
+		return fmt.Errorf("%s answers %d, not a controller's state", address, status)
 	}
-	return state, nil
+	return nil
 }
--- a/internal/controller/environment.go
+++ b/internal/controller/environment.go
@@ -79,10 +79,11 @@
 	// If the queue is too full for trySubmit, a timer submits f from another goroutine even without
 	// a delay. After is called on the event loop's goroutine, which must not block on its own
 	// queue.
-	if delay <= 0 && e.loop.trySubmit(f) {
+	kind := timerCommand(f)
+	if delay <= 0 && e.loop.trySubmit(kind, f) {
 		return
 	}
-	time.AfterFunc(max(delay, 0), func() { e.loop.submit(f) })
+	time.AfterFunc(max(delay, 0), func() { e.loop.submit(kind, f) })
 }
 
 // Send adds a message for another controller to the transport's queue. The transport may drop the
@@ -108,7 +109,7 @@
 			return decodeAnswer(address, path, status, body, out)
 		})
 		<-e.callSlots
-		e.loop.submit(func() { done(status) })
+		e.loop.submit(answerCommand(method, path), func() { done(status) })
 	}()
 }
 
--- a/internal/controller/host.go
+++ b/internal/controller/host.go
@@ -76,6 +76,9 @@
 	return counts
 }
 
+// SetActivity records what the event loop works on.
+func (c *Controller) SetActivity(activity shard.Activity) { c.onActivity(activity) }
+
 // Deadlines lists a job's deadlines in seconds after its submission: its own deadline, or those
 // that the service-level objectives set for its class.
 func (c *Controller) Deadlines(job *protocol.Job) []float64 {
--- a/internal/controller/httpserver.go
+++ b/internal/controller/httpserver.go
@@ -18,6 +18,7 @@
 const (
 	cborContentType = "application/cbor"
 	debugStatePath  = "/debug/state"
+	eventLoopPath   = "/debug/eventloop"
 	// commandTimeout bounds how long a request waits for the response of its command.
 	commandTimeout = 4 * time.Second
 	// retryAfterSeconds is the value of the Retry-After header in the server's own refusals.
@@ -78,6 +79,7 @@
 	app.Get("/v2/runs/:id", s.handleJobStatus)
 	app.Post("/v2/runs/:id/abort", s.handleCancel)
 	app.Get(debugStatePath, s.handleDebugState)
+	app.Get(eventLoopPath, s.handleEventLoopState)
 	return app
 }
 
@@ -146,6 +148,12 @@
 	})
 }
 
+// handleEventLoopState answers without the event loop, so that it also answers while that is blocked.
+func (s *httpServer) handleEventLoopState(ctx *fiber.Ctx) error {
+	state := s.loop.monitor.state(len(s.loop.commands), time.Now())
+	return writeResponse(ctx, response{status: http.StatusOK, body: state})
+}
+
 // userReply returns the function that answers a user. The load balancer does not move users'
 // connections to another controller. So a controller that cannot serve users closes their
 // connections, and their retries reach another one.
@@ -167,7 +175,8 @@
 		return writeResponse(ctx, retryLater("overloaded"))
 	}
 	responses := make(chan response, 1)
-	s.loop.submit(func() {
+	route := ctx.Route() // unlike ctx.Method(), its strings stay valid after the request
+	s.loop.submit(requestCommand(route.Method, route.Path), func() {
 		command(func(r response) {
 			select {
 			case responses <- r:
--- a/internal/controller/httpserver_test.go
+++ b/internal/controller/httpserver_test.go
@@ -43,6 +43,7 @@
 		{"report that cannot be decoded", http.MethodPost, "/v1/report", []byte{0xff}, 400, ""},
 		{"report before the cache is loaded", http.MethodPost, "/v1/report", validReport, 503, ""},
 		{"debug state", http.MethodGet, "/debug/state", nil, 200, ""},
+		{"event loop state", http.MethodGet, "/debug/eventloop", nil, 200, ""},
 		{"unknown path", http.MethodGet, "/v3/runs", nil, 404, ""},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -57,7 +58,7 @@
 func TestOverloadedServerRefuses(t *testing.T) {
 	server := &httpServer{loop: newEventLoop()} // nothing runs the commands
 	for range maxQueuedCommands/2 + 1 {
-		server.loop.submit(func() {})
+		server.loop.submit(peerMessageCommand, func() {})
 	}
 	checkAnswer(t, server.newApp(100), http.MethodGet, "/up", nil, 503, "1")
 }
@@ -83,11 +84,11 @@
 	loop := newEventLoop()
 	var ran []int
 	for i := range maxQueuedCommands / 2 {
-		if !loop.trySubmit(func() { ran = append(ran, i) }) {
+		if !loop.trySubmit(peerMessageCommand, func() { ran = append(ran, i) }) {
 			t.Fatalf("trySubmit refuses command %d", i)
 		}
 	}
-	if loop.trySubmit(func() {}) {
+	if loop.trySubmit(peerMessageCommand, func() {}) {
 		t.Error("trySubmit accepts a command when the queue is half full")
 	}
 	if loop.isOverloaded() {
--- a/internal/controller/partnertransport.go
+++ b/internal/controller/partnertransport.go
@@ -178,7 +178,7 @@
 			return decodePartnerAnswer(partner, path, status, body, out)
 		})
 		<-link.callSlots
-		t.environment.loop.submit(func() { done(status) })
+		t.environment.loop.submit(partnerAnswerCommand, func() { done(status) })
 	}()
 }
 
--- a/internal/controller/run.go
+++ b/internal/controller/run.go
@@ -20,6 +20,7 @@
 	loop := newEventLoop()
 	environment := newProcessEnvironment(loop, maxSockets)
 	controller := New(environment, cfg)
+	controller.onActivity = loop.monitor.setActivity
 	server := &httpServer{loop: loop, controller: controller}
 	if cfg.Federation != nil {
 		partners, err := openPartnerTransport(server, environment, cfg)
@@ -37,6 +38,7 @@
 		controller.Start()
 		loop.run()
 	}()
+	go loop.watch()
 	return server.serve(listener, maxSockets)
 }
 
@@ -47,7 +49,7 @@
 		addresses[member.Name] = member.Address
 	}
 	receive := func(envelope *peermsg.Envelope) {
-		loop.submit(func() { controller.HandlePeerMessage(envelope) })
+		loop.submit(peerMessageCommand, func() { controller.HandlePeerMessage(envelope) })
 	}
 	return peermsg.Listen(cfg.Mesh, cfg.Name, addresses, env.Seconds(cfg.Deployment.Workers.Lease/20), receive)
 }
--- a/internal/shard/controller.go
+++ b/internal/shard/controller.go
@@ -22,6 +22,8 @@
 	MachineType(name string) *protocol.MachineType
 	// SendCommands sends a machine its pending commands now, without waiting for its next report.
 	SendCommands(shard *Shard, machine *Machine)
+	// SetActivity records what the event loop works on, for operators. It may be called often.
+	SetActivity(activity Activity)
 	// CanLaunch reports whether tasks may be started: the controller's store lease is valid and
 	// its cache of the store is recent.
 	CanLaunch() bool
--- a/internal/shard/helpers_test.go
+++ b/internal/shard/helpers_test.go
@@ -60,6 +60,7 @@
 func (c *fakeController) MachineType(string) *protocol.MachineType {
 	return &protocol.MachineType{Name: "small", Cores: 4, MemoryGB: 16, BootSeconds: 10}
 }
+func (c *fakeController) SetActivity(Activity)                       {}
 func (c *fakeController) SendCommands(*Shard, *Machine)              {}
 func (c *fakeController) CanLaunch() bool                            { return true }
 func (c *fakeController) HasDemandFor(*Machine, bool) bool           { return true }
--- a/internal/shard/moves.go
+++ b/internal/shard/moves.go
@@ -58,6 +58,7 @@
 		return
 	}
 	for _, job := range s.queueByScore(now) {
+		s.beginJobOperation(OperationMoveChunk, job.Record.Job.ID)
 		if s.canMoveChunks(job, now) && s.moveChunkOf(job, others, now) {
 			return
 		}
--- a/internal/shard/placement.go
+++ b/internal/shard/placement.go
@@ -40,6 +40,7 @@
 // reports whether the job has no idle task left.
 func (s *Shard) startTasks(job *QueuedJob, capacities []*freeCapacity, now time.Duration) bool {
 	spec := &job.Record.Job
+	s.beginJobOperation(OperationSchedule, spec.ID)
 	wanted := s.remainingTeamQuota(spec.Team).limitTasks(spec, job.idleTasks)
 	if job.suspect && !job.isGang() {
 		wanted = min(wanted, 1)
--- a/internal/shard/progress.go
+++ b/internal/shard/progress.go
@@ -92,6 +92,7 @@
 		return nil, nil
 	}
 	shard, job := w.shard, w.job
+	shard.beginJobOperation(OperationProgressWrite, job.Record.Job.ID)
 	w.isBuilt = true
 	job.writeInFlight = true
 	job.progressDirty = false
@@ -121,6 +122,7 @@
 // finish handles the outcome of the write.
 func (w *progressWrite) finish(ok bool, _ uint64) {
 	shard, job := w.shard, w.job
+	shard.beginJobOperation(OperationProgressWrite, job.Record.Job.ID)
 	job.writeQueued[w.priority] = false
 	if !w.isBuilt { // the write was no longer needed, so nothing was sent
 		return
--- a/internal/shard/reports.go
+++ b/internal/shard/reports.go
@@ -12,6 +12,7 @@
 // HandleReport applies a report of a machine's agent. It returns false if the report is outdated.
 // origin tells whether the agent posted the report or sent it in its answer to commands.
 func (s *Shard) HandleReport(machine *Machine, report *protocol.Report, origin agent.ReportOrigin) bool {
+	s.beginMachineOperation(OperationReport, machine.ID)
 	wasReconciled := machine.Reconciled
 	events, ok := machine.ApplyReport(report, s.controller.Now(), origin)
 	if !ok {
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -18,10 +18,12 @@
 	writeInterval := s.progressInterval(s.countUnwrittenJobs())
 	s.evaluateSuspects(now)
 	for _, job := range s.jobsByID() {
+		s.beginJobOperation(OperationTickJob, job.Record.Job.ID)
 		s.tickJob(job, now, writeInterval)
 	}
 	s.spotFreeCores = -1
 	for _, machine := range s.machinesByID() {
+		s.beginMachineOperation(OperationTickMachine, machine.ID)
 		s.checkMachine(machine, now)
 		s.sendCommandsIfDue(machine)
 	}
--- a/internal/shard/updates.go
+++ b/internal/shard/updates.go
@@ -12,6 +12,7 @@
 
 // UpdateJob applies the record of a live job. A nil record means that the job has finished.
 func (s *Shard) UpdateJob(id string, record *JobRecord, revision uint64) {
+	s.beginJobOperation(OperationJobRecord, id)
 	s.needsPass = true
 	job := s.Jobs[id]
 	if record == nil {
@@ -157,6 +158,7 @@
 	if job == nil || progress == nil {
 		return
 	}
+	s.beginJobOperation(OperationProgressRecord, id)
 	job.mergeDone(progress.DoneRanges, s.ID)
 	s.recordStoredEvidence(job, shardID, progress.FaultEvidence)
 	if shardID == s.ID && !job.writeInFlight { // while a write is in flight, only progressWrite.finish sets recordedMachines
