shard: check a machine's commands once per event, not once per task

Cause: placeTasks called sendCommandsIfDue once for each placed task; each call goes over all attempts of the machine, and while the launches wait for their progress record no call sends anything that would make the later ones short. All 100,000 tasks were planned for one machine: 10^10 steps in one command of the event loop. The stored progress (releaseHeldAttempts), stops of gangs and of hosted jobs, and unknown tasks of a report asked once for each task in the same way.

Change: requestCommands checks a machine at the first request of an event and once more at its end if there were others. A second check in between could not send anything new: the first one either put commands in flight or found a reason that holds for the whole machine.

--- a/internal/shard/attempts.go
+++ b/internal/shard/attempts.go
@@ -58,7 +58,7 @@
 		}
 		wasNotLaunched := placed.machine.RequestStop(placed.attempt, 0)
 		if !wasNotLaunched {
-			s.sendCommandsIfDue(placed.machine)
+			s.requestCommands(placed.machine)
 			continue
 		}
 		delete(job.placements, placed.attempt.TaskID)
@@ -101,5 +101,5 @@
 		s.requeueTask(job, placed.attempt)
 		return
 	}
-	s.sendCommandsIfDue(placed.machine)
+	s.requestCommands(placed.machine)
 }
--- a/internal/shard/helpers_test.go
+++ b/internal/shard/helpers_test.go
@@ -51,6 +51,9 @@
 	env    *recordingEnvironment
 	store  *kvstore.Store
 	config *settings.Settings
+	// launchChecks counts the calls of CanLaunch, of which there is one for each check of a machine's
+	// direct commands.
+	launchChecks int
 }
 
 func (c *fakeController) Now() time.Duration           { return c.env.Now() }
@@ -62,7 +65,6 @@
 }
 func (c *fakeController) SetActivity(Activity)                       {}
 func (c *fakeController) SendCommands(*Shard, *Machine)              {}
-func (c *fakeController) CanLaunch() bool                            { return true }
 func (c *fakeController) HasDemandFor(*Machine, bool) bool           { return true }
 func (c *fakeController) LargeJobs() map[string]LargeJob             { return nil }
 func (c *fakeController) Deadlines(*protocol.Job) []float64          { return nil }
@@ -74,6 +76,11 @@
 func (c *fakeController) ReassignMachine(string, int, func() protocol.Condition, func() bool, func(bool)) {
 }
 
+func (c *fakeController) CanLaunch() bool {
+	c.launchChecks++
+	return true
+}
+
 // newTestShard returns an empty shard with fencing token testToken.
 func newTestShard(t testing.TB) (*recordingEnvironment, *Shard) {
 	t.Helper()
--- a/internal/shard/hosted.go
+++ b/internal/shard/hosted.go
@@ -164,7 +164,7 @@
 		case placed.machine.RequestStop(attempt, 0):
 			s.requeueTask(job, attempt)
 		default:
-			s.sendCommandsIfDue(placed.machine)
+			s.requestCommands(placed.machine)
 		}
 	}
 }
--- a/internal/shard/machine.go
+++ b/internal/shard/machine.go
@@ -21,6 +21,8 @@
 	reservation  *freeCapacity   // free capacity, with the part that the last pass reserved for the head of the queue; nil: nothing is reserved
 	cachedImages map[string]bool // images of tasks that have run on the machine
 
+	commandRequests commandRequests // requests for commands in the current event
+
 	// Removal from the shard.
 	retireReason     retireReason
 	emptySince       time.Duration // when the machine last became empty or was last seen in use
@@ -79,11 +81,3 @@
 		"type", machine.Type, "spot", machine.Spot, "reason", reason)
 	machine.retireReason = reason
 }
-
-// sendCommandsIfDue sends a machine its commands directly if they should not wait for its next
-// report.
-func (s *Shard) sendCommandsIfDue(machine *Machine) {
-	if machine.NeedsDirectCommands(s.controller.CanLaunch(), s.controller.Now()) {
-		s.controller.SendCommands(s, machine)
-	}
-}
--- a/internal/shard/placement.go
+++ b/internal/shard/placement.go
@@ -237,8 +237,9 @@
 		s.queueProgressWrite(job, kvstore.PriorityNormal)
 	}
 	for _, free := range plan {
-		s.sendCommandsIfDue(free.machine)
+		s.requestCommands(free.machine)
 	}
+	s.finishCommandRequests()
 }
 
 // placeTask places one task on a machine. Its launch is held back until the job's stored
--- a/internal/shard/progress.go
+++ b/internal/shard/progress.go
@@ -122,6 +122,7 @@
 // finish handles the outcome of the write.
 func (w *progressWrite) finish(ok bool, _ uint64) {
 	shard, job := w.shard, w.job
+	defer shard.finishCommandRequests()
 	shard.beginJobOperation(OperationProgressWrite, job.Record.Job.ID)
 	job.writeQueued[w.priority] = false
 	if !w.isBuilt { // the write was no longer needed, so nothing was sent
@@ -195,7 +196,7 @@
 		case !placed.attempt.AwaitingRecord:
 		case job.recordCovers(placed.machine.ID):
 			placed.attempt.AwaitingRecord = false
-			s.sendCommandsIfDue(placed.machine)
+			s.requestCommands(placed.machine)
 		default:
 			job.hasHeldAttempts = true
 		}
--- a/internal/shard/reports.go
+++ b/internal/shard/reports.go
@@ -12,6 +12,7 @@
 // HandleReport applies a report of a machine's agent. It returns false if the report is outdated.
 // origin tells whether the agent posted the report or sent it in its answer to commands.
 func (s *Shard) HandleReport(machine *Machine, report *protocol.Report, origin agent.ReportOrigin) bool {
+	defer s.finishCommandRequests()
 	s.beginMachineOperation(OperationReport, machine.ID)
 	wasReconciled := machine.Reconciled
 	events, ok := machine.ApplyReport(report, s.controller.Now(), origin)
@@ -119,7 +120,7 @@
 	}
 	s.logTask("unexpected task stopped", machine, attempt, "job_is_live", job != nil)
 	machine.RequestStop(attempt, 0)
-	s.sendCommandsIfDue(machine)
+	s.requestCommands(machine)
 }
 
 // handleStarted records for a newly running attempt that its job has started, and that the job's
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -14,6 +14,7 @@
 // Tick runs the periodic work of the shard: progress writes, the checks of machines (see
 // checkMachine), and a scheduling pass if one is due. It is called a few times a second.
 func (s *Shard) Tick() {
+	defer s.finishCommandRequests()
 	now := s.controller.Now()
 	writeInterval := s.progressInterval(s.countUnwrittenJobs())
 	s.evaluateSuspects(now)
@@ -21,12 +22,14 @@
 		s.beginJobOperation(OperationTickJob, job.Record.Job.ID)
 		s.tickJob(job, now, writeInterval)
 	}
+	s.finishCommandRequests()
 	s.spotFreeCores = -1
 	for _, machine := range s.machinesByID() {
 		s.beginMachineOperation(OperationTickMachine, machine.ID)
 		s.checkMachine(machine, now)
 		s.sendCommandsIfDue(machine)
 	}
+	s.finishCommandRequests()
 	if s.isPassDue(now) {
 		s.Schedule()
 	}
--- a/internal/shard/updates.go
+++ b/internal/shard/updates.go
@@ -12,6 +12,7 @@
 
 // UpdateJob applies the record of a live job. A nil record means that the job has finished.
 func (s *Shard) UpdateJob(id string, record *JobRecord, revision uint64) {
+	defer s.finishCommandRequests()
 	s.beginJobOperation(OperationJobRecord, id)
 	s.needsPass = true
 	job := s.Jobs[id]
@@ -70,7 +71,7 @@
 				removeOrphan(machine, attempt)
 			}
 		}
-		s.sendCommandsIfDue(machine)
+		s.requestCommands(machine)
 	}
 	job.placements = map[agent.TaskID]*placement{}
 	s.forgetJob(job)
@@ -132,6 +133,7 @@
 	if s.awaitingSyncCount == 0 {
 		return
 	}
+	defer s.finishCommandRequests()
 	for _, job := range s.jobsByID() {
 		s.checkCacheSync(job)
 	}
@@ -171,6 +173,7 @@
 // UpdateMachine applies a machine's record. A nil record means that the cloud has definitely
 // deleted the machine, and with it all of its tasks.
 func (s *Shard) UpdateMachine(id string, record *MachineRecord) {
+	defer s.finishCommandRequests()
 	s.needsPass = true
 	machine := s.Machines[id]
 	if record == nil || record.Shard != s.ID {
