shard: place no more tasks on a machine than its report can list

Cause: nothing bounded the tasks of a machine but cores, GPUs and memory. PROTOCOL bounds a report by 64 KiB, and a report lists all tasks. The larger reports were answered with 400 by every controller, so the lease ended with all that ran there. The cost of one report or one message was not bounded either.

Change: bytes of the report are a resource beside cores, GPUs and memory. An attempt takes the largest size that its entry can have (counted in JSON, as PROTOCOL says) until the agent has forgotten it. TasksThatFit, and with it the choice of shards, transfers and rentals, knows the bound; the status tells it of free capacity (report_bytes, a new optional field), so that no chunk moves to a machine whose report is full. countFitting is computed at once instead of task by task.

--- a/internal/agent/reconcile.go
+++ b/internal/agent/reconcile.go
@@ -183,7 +183,7 @@
 		}
 		switch m.absenceReasonOf(attempt, report, evidence.origin) {
 		case absentAcknowledged:
-			delete(m.Attempts, attempt.AttemptID)
+			m.Forget(attempt)
 			if !evidence.newIncarnation {
 				evidence.commandTookEffect = true
 			}
@@ -192,7 +192,7 @@
 			attempt.launch.sent = false
 			evidence.launchMissing = true
 		case absentTerminated:
-			delete(m.Attempts, attempt.AttemptID)
+			m.Forget(attempt)
 			if !attempt.HasEnded() {
 				events = append(events, Event{attempt, AttemptLost})
 			}
--- a/internal/autoscaler/scaleout.go
+++ b/internal/autoscaler/scaleout.go
@@ -57,19 +57,18 @@
 	offering
 	machineType         *protocol.MachineType
 	cores, gpus, memory float64
+	reportBytes         int // bytes of the machine's report that tasks may fill, see protocol.ReportCapacity
 }
 
 // place reserves capacity for up to the given number of a job's tasks and returns how many
 // fit.
 func (c *freeCapacity) place(job *protocol.Job, tasks int) int {
-	if job.Cores+job.GPUs+job.MemoryGB == 0 && c.fits(job) {
-		return max(0, tasks)
-	}
 	placed := 0
 	for placed < tasks && c.fits(job) {
 		c.cores -= job.Cores
 		c.gpus -= job.GPUs
 		c.memory -= job.MemoryGB
+		c.reportBytes -= protocol.TaskReportSize(job.ID)
 		placed++
 	}
 	return placed
@@ -79,7 +78,8 @@
 func (c *freeCapacity) fits(job *protocol.Job) bool {
 	return c.cores+capacityTolerance >= job.Cores &&
 		c.gpus+capacityTolerance >= job.GPUs &&
-		c.memory+capacityTolerance >= job.MemoryGB
+		c.memory+capacityTolerance >= job.MemoryGB &&
+		c.reportBytes >= protocol.TaskReportSize(job.ID)
 }
 
 // rentalPlan collects the machines that one round rents.
@@ -123,7 +123,14 @@
 	if machineType == nil {
 		return nil
 	}
-	capacity := &freeCapacity{machine, machineType, machineType.Cores, machineType.GPUs, machineType.MemoryGB}
+	capacity := &freeCapacity{
+		offering:    machine,
+		machineType: machineType,
+		cores:       machineType.Cores,
+		gpus:        machineType.GPUs,
+		memory:      machineType.MemoryGB,
+		reportBytes: protocol.ReportCapacity,
+	}
 	p.capacity = append(p.capacity, capacity)
 	return capacity
 }
--- a/internal/protocol/cloud.go
+++ b/internal/protocol/cloud.go
@@ -34,9 +34,10 @@
 	return t.OnDemandPrice
 }
 
-// TasksThatFit returns how many tasks of a job fit on an empty machine of the type, at most limit.
+// TasksThatFit returns how many tasks of a job fit on an empty machine of the type, at most limit. It
+// is never more than one report can list.
 func (t *MachineType) TasksThatFit(job *Job, limit int) int {
-	count := float64(limit)
+	count := float64(min(limit, maxReportedTasks(job.ID)))
 	count = min(count, tasksWithin(t.Cores, job.Cores))
 	count = min(count, tasksWithin(t.GPUs, job.GPUs))
 	count = min(count, tasksWithin(t.MemoryGB, job.MemoryGB))
--- a/internal/shard/arraypreemption.go
+++ b/internal/shard/arraypreemption.go
@@ -230,7 +230,7 @@
 		if !array.eligible[free.machine] {
 			continue
 		}
-		tasks := free.asMachineType().TasksThatFit(spec, array.job.idleTasks)
+		tasks := free.countFitting(spec, array.job.idleTasks)
 		supply += float64(tasks) * spec.Cores * ((array.latestStart - a.now).Seconds() + lastTaskSeconds)
 	}
 	for _, slot := range a.slots {
--- a/internal/shard/freecapacity.go
+++ b/internal/shard/freecapacity.go
@@ -143,12 +143,13 @@
 // computeFreeCapacity subtracts the resources of a machine's attempts from those of its type.
 func (s *Shard) computeFreeCapacity(machine *Machine, machineType *protocol.MachineType) freeCapacity {
 	free := freeCapacity{
-		resources:   resources{cores: machineType.Cores, gpus: machineType.GPUs, memory: machineType.MemoryGB},
+		resources:   resourcesOf(machineType),
 		machine:     machine,
 		machineType: machineType,
 	}
 	for _, attempt := range machine.Attempts {
-		if attempt.HasEnded() {
+		if attempt.HasEnded() { // its report entry stays until the agent has forgotten it
+			free.reportBytes -= protocol.TaskReportSize(attempt.Job)
 			continue
 		}
 		job := s.Jobs[attempt.Job]
--- a/internal/shard/moves.go
+++ b/internal/shard/moves.go
@@ -114,6 +114,9 @@
 		free.Cores -= float64(count) * spec.Cores
 		free.Gpus -= float64(count) * spec.GPUs
 		free.MemoryGb -= float64(count) * spec.MemoryGB
+		if free.ReportBytes != nil {
+			*free.ReportBytes -= int32(count * protocol.TaskReportSize(spec.ID))
+		}
 		tasks -= count
 	}
 	return true
@@ -168,7 +171,7 @@
 	if respectHeadroom && headroomBlocks(controller, capacity, spec) {
 		return 0
 	}
-	return capacity.asMachineType().TasksThatFit(spec, spec.Tasks)
+	return capacity.countFitting(spec, spec.Tasks)
 }
 
 // remoteCapacity converts the reported free capacity of a machine of another shard.
@@ -177,10 +180,14 @@
 		Machine: &agent.Machine{Zone: free.Zone, Spot: free.Spot},
 		record:  MachineRecord{IsPermanent: free.Permanent},
 	}
+	reportBytes := protocol.ReportCapacity
+	if free.ReportBytes != nil { // it is nil in the status of an older version
+		reportBytes = int(free.GetReportBytes())
+	}
 	return &freeCapacity{
 		machine:     machine,
 		machineType: machineType,
-		resources:   resources{cores: free.Cores, gpus: free.Gpus, memory: free.MemoryGb},
+		resources:   resources{cores: free.Cores, gpus: free.Gpus, memory: free.MemoryGb, reportBytes: reportBytes},
 	}
 }
 
--- a/internal/shard/reservation_test.go
+++ b/internal/shard/reservation_test.go
@@ -13,7 +13,7 @@
 // testCapacity returns the free capacity of a machine with the given zone and free cores.
 func testCapacity(zone string, cores float64) *freeCapacity {
 	machine := &Machine{Machine: &agent.Machine{ID: "i-" + zone, Zone: zone}}
-	return &freeCapacity{machine: machine, resources: resources{cores: cores}}
+	return &freeCapacity{machine: machine, resources: resources{cores: cores, reportBytes: protocol.ReportCapacity}}
 }
 
 // testVictim returns a victim with the given job, task index and cost, and a gain of 100
--- a/internal/shard/schedule_test.go
+++ b/internal/shard/schedule_test.go
@@ -27,7 +27,7 @@
 			free := testCapacity("a", 4)
 			free.machineType = shard.controller.MachineType("small")
 			free.isReserved, free.reservedFrom = test.isReserved, test.reservedFrom
-			free.unreserved.cores = test.spareCores
+			free.unreserved = resources{cores: test.spareCores, reportBytes: protocol.ReportCapacity}
 			if can := shard.canBackfill(free, spec, now); can != test.want {
 				t.Errorf("can backfill: %v, want %v", can, test.want)
 			}
--- a/internal/shard/shortfall.go
+++ b/internal/shard/shortfall.go
@@ -61,7 +61,7 @@
 		if free == nil || s.isUnfitForGang(machine, job, now) {
 			return 0
 		}
-		return max(0, free.asMachineType().TasksThatFit(spec, spec.Tasks))
+		return free.countFitting(spec, spec.Tasks)
 	})
 }
 
--- a/internal/shard/status.go
+++ b/internal/shard/status.go
@@ -112,6 +112,7 @@
 			Cores:       free.cores,
 			Gpus:        free.gpus,
 			MemoryGb:    free.memory,
+			ReportBytes: new(int32(free.reportBytes)),
 			Empty:       len(machine.Attempts) == 0,
 			Reclaimable: free.cores+free.reclaimable.cores >= free.machineType.Cores-epsilon,
 		})
