shard: complete and stop a gang once, not once per task

Found by following the paths of a job of the protocol's size; no user has reported it.

Cause: the end of each task went over all tasks of the gang: completeTask marked all of them as done again, and requeueTask sorted all placements and stopped them again.

Change: the first end of an attempt marks or stops all tasks, the others only their own. A task of a failed attempt that is reported later, after a takeover, is stopped as before.

--- a/internal/shard/activity.go
+++ b/internal/shard/activity.go
@@ -11,6 +11,8 @@
 	OperationJobRecord      Operation = "apply job record"
 	OperationProgressRecord Operation = "apply progress record"
 	OperationProgressWrite  Operation = "write progress"
+	OperationCompleteGang   Operation = "complete gang"
+	OperationStopGang       Operation = "stop gang"
 	OperationTickJob        Operation = "tick job"
 	OperationTickMachine    Operation = "tick machine"
 )
--- a/internal/shard/attempts.go
+++ b/internal/shard/attempts.go
@@ -25,7 +25,8 @@
 	job.setTaskState(attempt.Index, taskDone)
 	job.progressDirty = true
 	job.unrecordedEnds = append(job.unrecordedEnds, attempt)
-	if job.isGang() {
+	if job.isGang() && job.remainingTasks > 0 { // the first of the gang's tasks to be reported
+		s.beginJobOperation(OperationCompleteGang, job.Record.Job.ID)
 		for task := range job.taskStates {
 			job.setTaskState(task, taskDone)
 		}
@@ -49,9 +50,25 @@
 	s.needsPass = true
 }
 
-// clearGangAttempt stops the remaining tasks of a gang's failed attempt. The next attempt may
-// start only when all of them have terminated.
+// clearGangAttempt stops the remaining tasks of a gang's failed attempt, once for the attempt. The
+// next attempt may start only when all of them have terminated.
 func (s *Shard) clearGangAttempt(job *QueuedJob) {
+	if !job.gangCleared {
+		job.gangCleared = true
+		s.stopRemainingGang(job)
+	}
+	if job.placedTasks == 0 {
+		job.gangFailed = false
+		job.gangStopping = false
+		job.gangCleared = false
+		job.gangAttempt = 0
+	}
+}
+
+// stopRemainingGang stops all tasks of a gang at once, except those that already save a checkpoint
+// because the gang was stopped in an orderly way.
+func (s *Shard) stopRemainingGang(job *QueuedJob) {
+	s.beginJobOperation(OperationStopGang, job.Record.Job.ID)
 	for _, placed := range job.sortedPlacements() {
 		if job.gangStopping && placed.attempt.StopRequested {
 			continue
@@ -64,11 +81,6 @@
 		delete(job.placements, placed.attempt.TaskID)
 		job.setTaskState(placed.attempt.Index, taskIdle)
 	}
-	if job.placedTasks == 0 {
-		job.gangFailed = false
-		job.gangStopping = false
-		job.gangAttempt = 0
-	}
 }
 
 // stopAttempt stops a task. If the task belongs to a gang, the whole gang is stopped. Tasks that
--- /dev/null
+++ b/internal/shard/eventcost_test.go
@@ -0,0 +1,89 @@
+package shard
+
+import (
+	"testing"
+
+	"curlewspool/internal/agent"
+	"curlewspool/internal/protocol"
+)
+
+// These tests count how often an event goes over all tasks of a job or over all machines. They guard
+// against events that do so once for each task, which keeps the event loop for a time that grows as
+// the square of the tasks (docs/incidents/event-loop-blocked.md).
+
+// countOperations returns how often the shard began an operation while run ran.
+func countOperations(shard *Shard, operation Operation, run func()) int {
+	controller := shard.controller.(*fakeController)
+	before := controller.operations[operation]
+	run()
+	return controller.operations[operation] - before
+}
+
+// newShardWithGang returns a shard with a launched gang.
+func newShardWithGang(t *testing.T, tasks int) (*Shard, *QueuedJob, *Machine) {
+	t.Helper()
+	shard, job, machine := newShardWithTinyTasks(t, protocol.ShapeGang, tasks, true)
+	launchAll(t, shard, job, machine)
+	return shard, job, machine
+}
+
+func TestGangIsCompletedOnce(t *testing.T) {
+	shard, job, machine := newShardWithGang(t, 100)
+	report := reportOf(machine, 2, protocol.TaskEnded, protocol.CauseDone)
+	count := countOperations(shard, OperationCompleteGang, func() { shard.HandleReport(machine, report, agent.Posted) })
+	if count != 1 || job.remainingTasks != 0 || job.placedTasks != 0 {
+		t.Errorf("the gang's tasks were marked as done %d times, want 1; %d remain, %d are placed", count, job.remainingTasks, job.placedTasks)
+	}
+}
+
+func TestFailedGangIsStoppedOnce(t *testing.T) {
+	shard, job, machine := newShardWithGang(t, 100)
+	report := reportOf(machine, 2, protocol.TaskEnded, protocol.CauseGangMemberLost)
+	report.Tasks[0].State = protocol.TaskRunning
+	count := countOperations(shard, OperationStopGang, func() { shard.HandleReport(machine, report, agent.Posted) })
+	if count != 1 {
+		t.Errorf("the gang's tasks were stopped %d times, want 1", count)
+	}
+	for _, placed := range job.placements {
+		if !placed.attempt.StopRequested {
+			t.Errorf("%v is not stopped", placed.attempt)
+		}
+	}
+	if job.placedTasks != 1 || !job.gangFailed {
+		t.Errorf("%d tasks are placed, want 1", job.placedTasks)
+	}
+}
+
+func TestStoppedGangIsClearedOnce(t *testing.T) {
+	shard, job, machine := newShardWithGang(t, 100)
+	count := countOperations(shard, OperationStopGang, func() {
+		shard.stopAttempt(job, job.sortedPlacements()[0], "test")
+		shard.HandleReport(machine, reportOf(machine, 2, protocol.TaskEnded, protocol.CauseStopped), agent.Posted)
+	})
+	if count != 1 || job.placedTasks != 0 || job.gangFailed || job.gangStopping || job.gangCleared || job.gangAttempt != 0 {
+		t.Errorf("stopped %d times, want 1; state %+v", count, job)
+	}
+}
+
+// A task of a failed attempt that a machine reports late, after a takeover, is stopped as well.
+func TestLateTaskOfFailedGangIsStopped(t *testing.T) {
+	shard, job, machine := newShardWithTinyTasks(t, protocol.ShapeGang, 3, true)
+	report := newTestReport(machine.ID, 2)
+	for _, task := range []string{"wk-1/0", "wk-1/1"} {
+		report.Tasks = append(report.Tasks, protocol.TaskReport{Task: task, Attempt: 7, State: protocol.TaskRunning})
+	}
+	shard.HandleReport(machine, report, agent.Posted)
+	report = reportOf(machine, 3, protocol.TaskRunning, "")
+	report.Tasks[0].State, report.Tasks[0].Cause = protocol.TaskEnded, protocol.CauseError
+	shard.HandleReport(machine, report, agent.Posted)
+	late := protocol.TaskReport{Task: "wk-1/2", Attempt: 7, State: protocol.TaskRunning}
+	report = reportOf(machine, 4, protocol.TaskRunning, "")
+	report.Tasks[0].State, report.Tasks[0].Cause = protocol.TaskEnded, protocol.CauseError
+	report.Tasks[1].State, report.Tasks[1].Cause = protocol.TaskEnded, protocol.CauseStopped
+	report.Tasks = append([]protocol.TaskReport{late}, report.Tasks...)
+	shard.HandleReport(machine, report, agent.Posted)
+	placed := job.placements[agent.TaskID{Job: "wk-1", Index: 2}]
+	if placed == nil || !placed.attempt.StopRequested {
+		t.Errorf("the late task is not stopped: %+v", placed)
+	}
+}
--- a/internal/shard/helpers_test.go
+++ b/internal/shard/helpers_test.go
@@ -54,6 +54,8 @@
 	// launchChecks counts the calls of CanLaunch, of which there is one for each check of a machine's
 	// direct commands.
 	launchChecks int
+	deadlines    []float64         // of all jobs
+	operations   map[Operation]int // counts the calls of SetActivity
 }
 
 func (c *fakeController) Now() time.Duration           { return c.env.Now() }
@@ -63,11 +65,10 @@
 func (c *fakeController) MachineType(string) *protocol.MachineType {
 	return &protocol.MachineType{Name: "small", Cores: 4, MemoryGB: 16, BootSeconds: 10}
 }
-func (c *fakeController) SetActivity(Activity)                       {}
 func (c *fakeController) SendCommands(*Shard, *Machine)              {}
 func (c *fakeController) HasDemandFor(*Machine, bool) bool           { return true }
 func (c *fakeController) LargeJobs() map[string]LargeJob             { return nil }
-func (c *fakeController) Deadlines(*protocol.Job) []float64          { return nil }
+func (c *fakeController) Deadlines(*protocol.Job) []float64          { return c.deadlines }
 func (c *fakeController) BootingCores() (float64, float64)           { return 0, 0 }
 func (c *fakeController) SpotSuffices() bool                         { return false }
 func (c *fakeController) HasSpareFor(*Machine, *protocol.Job) bool   { return false }
@@ -76,6 +77,10 @@
 func (c *fakeController) ReassignMachine(string, int, func() protocol.Condition, func() bool, func(bool)) {
 }
 
+func (c *fakeController) SetActivity(activity Activity) {
+	c.operations[activity.Operation]++
+}
+
 func (c *fakeController) CanLaunch() bool {
 	c.launchChecks++
 	return true
@@ -92,7 +97,7 @@
 	limits := kvstore.Limits{RequestsPerSecond: 100, WritesPerSecond: 100, MutationsPerTransaction: 12, Members: 1}
 	store := kvstore.New(env, "state", "n0", limits, func(string, []byte) {})
 	guard := func() protocol.Condition { return protocol.Condition{Key: "a/o/0", Revision: 7} }
-	controller := &fakeController{env: env, store: store, config: config}
+	controller := &fakeController{env: env, store: store, config: config, operations: map[Operation]int{}}
 	return env, New(0, testToken, controller, guard, 0)
 }
 
--- a/internal/shard/placement.go
+++ b/internal/shard/placement.go
@@ -220,6 +220,7 @@
 	spec := &job.Record.Job
 	if job.isGang() || job.gangAttempt == 0 {
 		job.gangAttempt = s.nextAttemptNumber()
+		job.gangCleared = false
 	}
 	if s.lateStartBoost(job, s.ageOf(job)) > 0 {
 		protection := env.Seconds(s.controller.Settings().Score.StartWithin / protectionDivisor)
--- a/internal/shard/queuedjob.go
+++ b/internal/shard/queuedjob.go
@@ -46,6 +46,7 @@
 	gangAttempt  uint64 // number of the attempt that all tasks share; 0: none
 	gangFailed   bool   // the attempt has failed and its remaining tasks are being removed
 	gangStopping bool   // the attempt is being preempted or drained
+	gangCleared  bool   // the attempt has failed, and all its tasks that are placed have been told to stop
 
 	// Scheduling.
 	queuedAt       time.Duration            // when this owner added the job to the shard
--- a/internal/shard/reports.go
+++ b/internal/shard/reports.go
@@ -98,6 +98,7 @@
 	job.placements[attempt.TaskID] = &placement{machine, attempt}
 	if job.isGang() {
 		job.gangAttempt = attempt.Number
+		job.gangCleared = false // if the attempt has failed, this task has not been told to stop
 	}
 	if attempt.State == protocol.TaskCheckpointing { // a previous owner is stopping it
 		attempt.StopRequested = true
