shard: evaluate suspects once per report, not once per failed task

What callers would see: an array of 100,000 tiny tasks that fails on every machine keeps the event loop for 155 ms at each report (a controller has a quarter of a core), 31 s in all.

Cause: recordFailure evaluated all suspects for each failed task: belief propagation over all pairs of jobs and machines with failures, although nothing reads the result before the report is handled.

Change: handleEvents evaluates once, after the last event of the report.

Test: TestSuspectsAreEvaluatedOncePerReport (100 evaluations for a report before).

--- a/internal/shard/activity.go
+++ b/internal/shard/activity.go
@@ -5,16 +5,17 @@
 
 // The operations that a shard reports to its controller.
 const (
-	OperationSchedule       Operation = "schedule job"
-	OperationMoveChunk      Operation = "move chunk"
-	OperationReport         Operation = "reconcile report"
-	OperationJobRecord      Operation = "apply job record"
-	OperationProgressRecord Operation = "apply progress record"
-	OperationProgressWrite  Operation = "write progress"
-	OperationCompleteGang   Operation = "complete gang"
-	OperationStopGang       Operation = "stop gang"
-	OperationTickJob        Operation = "tick job"
-	OperationTickMachine    Operation = "tick machine"
+	OperationSchedule         Operation = "schedule job"
+	OperationMoveChunk        Operation = "move chunk"
+	OperationReport           Operation = "reconcile report"
+	OperationJobRecord        Operation = "apply job record"
+	OperationProgressRecord   Operation = "apply progress record"
+	OperationProgressWrite    Operation = "write progress"
+	OperationCompleteGang     Operation = "complete gang"
+	OperationStopGang         Operation = "stop gang"
+	OperationEvaluateSuspects Operation = "evaluate suspects"
+	OperationTickJob          Operation = "tick job"
+	OperationTickMachine      Operation = "tick machine"
 )
 
 // Activity is what the event loop works on. Operators find it in the log when a controller does not
--- a/internal/shard/eventcost_test.go
+++ b/internal/shard/eventcost_test.go
@@ -87,3 +87,16 @@
 		t.Errorf("the late task is not stopped: %+v", placed)
 	}
 }
+
+func TestSuspectsAreEvaluatedOncePerReport(t *testing.T) {
+	shard, job, machine := newShardWithTinyTasks(t, protocol.ShapeArray, 100, true)
+	launchAll(t, shard, job, machine)
+	report := reportOf(machine, 2, protocol.TaskEnded, protocol.CauseError)
+	count := countOperations(shard, OperationEvaluateSuspects, func() { shard.HandleReport(machine, report, agent.Posted) })
+	if count != 1 {
+		t.Errorf("the suspects were evaluated %d times for one report, want 1", count)
+	}
+	if job.failuresByMachine[machine.ID] != 100 {
+		t.Errorf("%d failures on the machine, want 100", job.failuresByMachine[machine.ID])
+	}
+}
--- a/internal/shard/reports.go
+++ b/internal/shard/reports.go
@@ -33,8 +33,10 @@
 // handleEvents handles the changes of attempts that follow from a report or from the expiry of the
 // machine's lease.
 func (s *Shard) handleEvents(machine *Machine, events []agent.Event) {
+	hasFailures := false
 	for _, event := range events {
 		s.needsPass = true
+		hasFailures = hasFailures || event.Kind == agent.AttemptEnded && event.Attempt.Cause == protocol.CauseError
 		switch event.Kind {
 		case agent.AttemptDiscovered:
 			s.handleDiscovered(machine, event.Attempt)
@@ -46,6 +48,9 @@
 			s.handleLost(machine, event.Attempt)
 		}
 	}
+	if hasFailures {
+		s.evaluateSuspects(s.controller.Now())
+	}
 	if len(events) > 0 && len(machine.Attempts) == 0 {
 		machine.emptySince = s.controller.Now()
 	}
--- a/internal/shard/scale_bench_test.go
+++ b/internal/shard/scale_bench_test.go
@@ -63,9 +63,9 @@
 }
 
 // reportAll has all machines report all their attempts in one state.
-func reportAll(shard *Shard, sequence uint64, state protocol.TaskState, cause protocol.TerminationCause) {
+func reportAll(shard *Shard, state protocol.TaskState, cause protocol.TerminationCause) {
 	for _, machine := range shard.machinesByID() {
-		shard.HandleReport(machine, reportOf(machine, sequence, state, cause), agent.Posted)
+		shard.HandleReport(machine, reportOf(machine, 2, state, cause), agent.Posted)
 	}
 }
 
@@ -103,11 +103,11 @@
 	}},
 	{"array/done", func(b *testing.B, tasks int) func() {
 		shard, _ := newShardWithPlacedJob(b, protocol.ShapeArray, tasks)
-		return func() { reportAll(shard, 2, protocol.TaskEnded, protocol.CauseDone) }
+		return func() { reportAll(shard, protocol.TaskEnded, protocol.CauseDone) }
 	}},
 	{"array/fail", func(b *testing.B, tasks int) func() {
 		shard, _ := newShardWithPlacedJob(b, protocol.ShapeArray, tasks)
-		return func() { reportAll(shard, 2, protocol.TaskEnded, protocol.CauseError) }
+		return func() { reportAll(shard, protocol.TaskEnded, protocol.CauseError) }
 	}},
 	{"array/cancel", func(b *testing.B, tasks int) func() {
 		shard, _ := newShardWithPlacedJob(b, protocol.ShapeArray, tasks)
@@ -145,17 +145,17 @@
 	}},
 	{"gang/done", func(b *testing.B, tasks int) func() {
 		shard, _ := newShardWithPlacedJob(b, protocol.ShapeGang, tasks)
-		return func() { reportAll(shard, 2, protocol.TaskEnded, protocol.CauseDone) }
+		return func() { reportAll(shard, protocol.TaskEnded, protocol.CauseDone) }
 	}},
 	{"gang/fail", func(b *testing.B, tasks int) func() {
 		shard, _ := newShardWithPlacedJob(b, protocol.ShapeGang, tasks)
-		return func() { reportAll(shard, 2, protocol.TaskEnded, protocol.CauseGangMemberLost) }
+		return func() { reportAll(shard, protocol.TaskEnded, protocol.CauseGangMemberLost) }
 	}},
 	{"gang/stop and end", func(b *testing.B, tasks int) func() {
 		shard, job := newShardWithPlacedJob(b, protocol.ShapeGang, tasks)
 		return func() {
 			shard.stopAttempt(job, job.sortedPlacements()[0], "test")
-			reportAll(shard, 2, protocol.TaskEnded, protocol.CauseStopped)
+			reportAll(shard, protocol.TaskEnded, protocol.CauseStopped)
 		}
 	}},
 	{"gang/stop before launch", func(b *testing.B, tasks int) func() {
--- a/internal/shard/suspects.go
+++ b/internal/shard/suspects.go
@@ -35,7 +35,8 @@
 // shard would probe each such job immediately after a restart of all controllers.
 const assumedRemoteProbes = 2
 
-// recordFailure records that a task of a job ended with an error on a machine.
+// recordFailure records that a task of a job ended with an error on a machine. The caller evaluates
+// the suspects once it has recorded all failures of a report.
 func (s *Shard) recordFailure(job *QueuedJob, machine *Machine, now time.Duration) {
 	id := job.Record.Job.ID
 	machine.lastFailureAt = now
@@ -52,7 +53,6 @@
 		job.failedProbes++
 		job.backoffUntil = now + s.reportInterval()<<min(job.failedProbes, maxProbeBackoffExponent)
 	}
-	s.evaluateSuspects(now)
 }
 
 // recordSuccess records that an attempt ended without error. If the attempt was placed after the
@@ -91,6 +91,9 @@
 // suspect.
 func (s *Shard) evaluateSuspects(now time.Duration) {
 	jobs, machines := s.faults.Suspects()
+	if len(jobs)+len(machines) > 0 {
+		s.controller.SetActivity(Activity{Operation: OperationEvaluateSuspects})
+	}
 	for _, id := range jobs {
 		job := s.Jobs[id]
 		if job == nil {
