shard: search only a finished job's machines for its attempts

What callers would see: the end of each job, also of a small one, sorted the attempts of all machines of the shard: 22 to 28 ms each with 100,000 tiny tasks on 200 machines. A batch of news with a few hundred ends kept the event loop for seconds.

Cause: dropJob listed all attempts of all machines, sorted, to find those of one job; so did hasNoAttempts at each tick for each remote lease that is to be released.

Change: a machine counts its attempts by job, and only machines that have some are searched. All machines are still checked for due commands, as before, so that the traffic stays the same; that is one look at each attempt, as a tick takes.

Test: TestFinishedJobVisitsItsMachinesOnly (3 machines without the condition).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -52,11 +52,12 @@
 	// LastPossibleRenewal have terminated one lease duration later.
 	LastPossibleRenewal time.Duration
 
-	Attempts map[AttemptID]*Attempt
-	Version  uint64 // number of changes, counted by MarkChanged
+	Attempts map[AttemptID]*Attempt // changed by methods of Machine only
+	Version  uint64                 // number of changes, counted by MarkChanged
 
-	incarnationSince    time.Duration // when a report first showed the incarnation, or when the last restart was detected
-	restarted           bool          // the machine restarted and is not reconciled yet, see ResetIncarnation
+	attemptsByJob       map[string]int // number of attempts by job; jobs without attempts are left out
+	incarnationSince    time.Duration  // when a report first showed the incarnation, or when the last restart was detected
+	restarted           bool           // the machine restarted and is not reconciled yet, see ResetIncarnation
 	reachability        reachability
 	lastStatusProbe     time.Duration // when the status was last requested, see ThrottleStatusProbe; 0: never
 	commandsInFlight    bool          // direct commands were sent and have no answer yet
@@ -75,6 +76,7 @@
 		LastHeartbeat:       lastRenewal,
 		LastPossibleRenewal: lastRenewal,
 		Attempts:            map[AttemptID]*Attempt{},
+		attemptsByJob:       map[string]int{},
 		Version:             1,
 	}
 }
@@ -92,17 +94,31 @@
 		AwaitingRecord: awaitingRecord,
 		PlacedAt:       now,
 	}
-	m.Attempts[attempt.AttemptID] = attempt
+	m.add(attempt)
 	m.MarkChanged()
 	return attempt
 }
 
+func (m *Machine) add(attempt *Attempt) {
+	m.Attempts[attempt.AttemptID] = attempt
+	m.attemptsByJob[attempt.Job]++
+}
+
 // Forget removes an attempt.
 func (m *Machine) Forget(attempt *Attempt) {
-	delete(m.Attempts, attempt.AttemptID)
+	if m.Attempts[attempt.AttemptID] != nil {
+		delete(m.Attempts, attempt.AttemptID)
+		m.attemptsByJob[attempt.Job]--
+		if m.attemptsByJob[attempt.Job] == 0 {
+			delete(m.attemptsByJob, attempt.Job)
+		}
+	}
 	m.MarkChanged()
 }
 
+// HasAttemptsOf reports whether any attempt of a job is in Attempts.
+func (m *Machine) HasAttemptsOf(job string) bool { return m.attemptsByJob[job] > 0 }
+
 // RequestStop requests that an attempt be stopped with a grace period in seconds. If the
 // attempt was never launched, RequestStop removes it at once and returns true.
 func (m *Machine) RequestStop(attempt *Attempt, graceSeconds float64) bool {
--- a/internal/agent/lease.go
+++ b/internal/agent/lease.go
@@ -32,7 +32,7 @@
 		if !attempt.MayExist() && !attempt.StopRequested {
 			continue
 		}
-		delete(m.Attempts, attempt.AttemptID)
+		m.Forget(attempt)
 		if !attempt.HasEnded() {
 			events = append(events, Event{attempt, AttemptLost})
 		}
--- a/internal/agent/reconcile.go
+++ b/internal/agent/reconcile.go
@@ -147,7 +147,7 @@
 func (m *Machine) discover(id AttemptID, taskReport *protocol.TaskReport, now time.Duration) *Attempt {
 	attempt := &Attempt{AttemptID: id, PlacedAt: now}
 	attempt.update(taskReport, now)
-	m.Attempts[id] = attempt
+	m.add(attempt)
 	return attempt
 }
 
--- a/internal/shard/activity.go
+++ b/internal/shard/activity.go
@@ -14,6 +14,7 @@
 	OperationCompleteGang     Operation = "complete gang"
 	OperationStopGang         Operation = "stop gang"
 	OperationEvaluateSuspects Operation = "evaluate suspects"
+	OperationRemoveAttempts   Operation = "remove attempts of finished job"
 	OperationTickJob          Operation = "tick job"
 	OperationTickMachine      Operation = "tick machine"
 )
--- a/internal/shard/eventcost_test.go
+++ b/internal/shard/eventcost_test.go
@@ -100,3 +100,21 @@
 		t.Errorf("%d failures on the machine, want 100", job.failuresByMachine[machine.ID])
 	}
 }
+
+// The end of a job must not cost more because of other jobs' attempts.
+func TestFinishedJobVisitsItsMachinesOnly(t *testing.T) {
+	shard, job, machine := newShardWithTinyTasks(t, protocol.ShapeArray, 3, true)
+	launchAll(t, shard, job, machine)
+	for _, id := range []string{"i-2", "i-3"} {
+		addTestMachine(t, shard, id)
+	}
+	count := countOperations(shard, OperationRemoveAttempts, func() { shard.UpdateJob("wk-1", nil, 0) })
+	if count != 1 {
+		t.Errorf("%d machines were searched for the job's attempts, want 1", count)
+	}
+	for _, attempt := range machine.Attempts {
+		if !attempt.StopRequested || !attempt.Orphaned {
+			t.Errorf("%v goes on", attempt)
+		}
+	}
+}
--- a/internal/shard/hosted.go
+++ b/internal/shard/hosted.go
@@ -182,7 +182,10 @@
 		if !machine.Reconciled && job.recordedMachines.contains(machine.ID) {
 			return false
 		}
-		for attempt := range machine.AllAttempts() {
+		if !machine.HasAttemptsOf(job.Record.Job.ID) {
+			continue
+		}
+		for _, attempt := range machine.Attempts {
 			if attempt.Job == job.Record.Job.ID && !attempt.HasEnded() && attempt.MayExist() {
 				return false
 			}
--- a/internal/shard/updates.go
+++ b/internal/shard/updates.go
@@ -66,10 +66,8 @@
 	record.ChunkShards = nil
 	job.Record = &record
 	for _, machine := range s.machinesByID() {
-		for attempt := range machine.AllAttempts() {
-			if attempt.Job == record.Job.ID {
-				removeOrphan(machine, attempt)
-			}
+		if machine.HasAttemptsOf(record.Job.ID) {
+			s.removeOrphans(machine, record.Job.ID)
 		}
 		s.requestCommands(machine)
 	}
@@ -77,6 +75,16 @@
 	s.forgetJob(job)
 }
 
+// removeOrphans removes the attempts of a finished job from a machine.
+func (s *Shard) removeOrphans(machine *Machine, job string) {
+	s.beginMachineOperation(OperationRemoveAttempts, machine.ID)
+	for attempt := range machine.AllAttempts() {
+		if attempt.Job == job {
+			removeOrphan(machine, attempt)
+		}
+	}
+}
+
 // removeOrphan removes an attempt of a finished job from its machine: it acknowledges an ended
 // attempt and stops any other.
 func removeOrphan(machine *Machine, attempt *agent.Attempt) {
