shard: sum up what a team uses once per change, not once per waiting job

Cause: remainingTeamQuota and exceedsGuarantee computed their sums anew at each call.

Change: the usage on a machine is cached by team until its attempts change, by the same version as its free capacity; what placed tasks of each team use is summed up once for a preemption.

Tests: TestPassSumsUpTeamUsageOncePerChange; TestExceedsGuarantee asks the new function the same questions.

--- a/internal/shard/activity.go
+++ b/internal/shard/activity.go
@@ -15,6 +15,7 @@
 	OperationStopGang         Operation = "stop gang"
 	OperationEvaluateSuspects Operation = "evaluate suspects"
 	OperationRemoveAttempts   Operation = "remove attempts of finished job"
+	OperationTeamUsage        Operation = "sum up team usage"
 	OperationTickJob          Operation = "tick job"
 	OperationTickMachine      Operation = "tick machine"
 )
--- a/internal/shard/eventcost_test.go
+++ b/internal/shard/eventcost_test.go
@@ -5,6 +5,7 @@
 
 	"curlewspool/internal/agent"
 	"curlewspool/internal/protocol"
+	"curlewspool/internal/settings"
 )
 
 // These tests count how often an event goes over all tasks of a job or over all machines. They guard
@@ -118,3 +119,22 @@
 		}
 	}
 }
+
+// A pass must not go over the attempts of all machines for each job of a team with a limit.
+func TestPassSumsUpTeamUsageOncePerChange(t *testing.T) {
+	shard, job, machine := newShardWithTinyTasks(t, protocol.ShapeArray, 20, true)
+	launchAll(t, shard, job, machine)
+	shard.controller.Settings().Deployment.Teams = []settings.Team{{Name: "limited", CoresMax: 2}}
+	for _, id := range []string{"wk-2", "wk-3", "wk-4"} {
+		spec := protocol.Job{ID: id, Team: "limited", Shape: protocol.ShapeArray, Tasks: 5, Cores: 1}
+		shard.UpdateJob(id, &JobRecord{Job: spec, ChunkSize: 5, ChunkShards: []int{0}}, 3)
+		shard.Jobs[id].recordedMachines.every = true
+	}
+	shard.Schedule()
+	if used := shard.teamUsageOf(machine).byTeam["limited"]; used.cores != 2 {
+		t.Fatalf("the team uses %v cores, want its limit, 2", used.cores)
+	}
+	if count := countOperations(shard, OperationTeamUsage, shard.Schedule); count != 0 {
+		t.Errorf("a pass over unchanged machines sums up the usage of %d machines, want 0", count)
+	}
+}
--- a/internal/shard/machine.go
+++ b/internal/shard/machine.go
@@ -16,10 +16,12 @@
 	JoinedAt time.Duration // when this owner added it to the shard
 
 	// Free capacity.
-	free         freeCapacity    // free capacity as computed for freeVersion
-	freeVersion  uint64          // Machine.Version for which free was computed; 0: it must be recomputed
-	reservation  *freeCapacity   // free capacity, with the part that the last pass reserved for the head of the queue; nil: nothing is reserved
-	cachedImages map[string]bool // images of tasks that have run on the machine
+	free             freeCapacity    // free capacity as computed for freeVersion
+	freeVersion      uint64          // Machine.Version for which free was computed; 0: it must be recomputed
+	teamUsage        teamUsage       // usage as computed for teamUsageVersion
+	teamUsageVersion uint64          // Machine.Version for which teamUsage was computed; 0: it must be recomputed
+	reservation      *freeCapacity   // free capacity, with the part that the last pass reserved for the head of the queue; nil: nothing is reserved
+	cachedImages     map[string]bool // images of tasks that have run on the machine
 
 	commandRequests commandRequests // requests for commands in the current event
 
--- a/internal/shard/preemption.go
+++ b/internal/shard/preemption.go
@@ -15,6 +15,9 @@
 	tasks      int // number of tasks that must start together
 	now        time.Duration
 	isEligible func(*QueuedJob) bool // restricts the jobs that may be preempted; nil: no restriction
+	// overGuarantee holds the teams whose attempts may be preempted because they use more than their
+	// guarantee. It is nil unless the requesting team is within its own.
+	overGuarantee map[string]bool
 }
 
 // preemptionPlan lists the attempts to preempt on one machine so that one task fits there.
@@ -30,13 +33,15 @@
 // their machines are reserved for the requesting job.
 func (s *Shard) preempt(request preemptionRequest, capacities []*freeCapacity) bool {
 	spec := &request.job.Record.Job
-	isEntitled := s.withinGuarantee(spec.Team)
+	if s.withinGuarantee(spec.Team) {
+		request.overGuarantee = s.teamsOverGuarantee(spec.Team)
+	}
 	var plans []preemptionPlan
 	for _, free := range capacities {
 		if !s.canReserveOn(free.machine, request.job, request.now) || s.headroomBlocks(free, request.job, request.now) {
 			continue
 		}
-		victims := s.preemptibleOn(free.machine, request, isEntitled)
+		victims := s.preemptibleOn(free.machine, request)
 		if plan, ok := s.planPreemption(free, spec, victims, request.now); ok {
 			plans = append(plans, plan)
 		}
@@ -47,9 +52,9 @@
 }
 
 // preemptibleOn lists the attempts on a machine that may be preempted for a request. These are
-// attempts of jobs with lower priorities and, if the requesting team is within its guarantee
-// (isEntitled), attempts of teams that exceed their own guarantees.
-func (s *Shard) preemptibleOn(machine *Machine, request preemptionRequest, isEntitled bool) []*placement {
+// attempts of jobs with lower priorities and, if the requesting team is within its guarantee,
+// attempts of teams that exceed their own guarantees.
+func (s *Shard) preemptibleOn(machine *Machine, request preemptionRequest) []*placement {
 	spec := &request.job.Record.Job
 	var victims []*placement
 	for attempt := range machine.AllAttempts() {
@@ -61,7 +66,7 @@
 			continue
 		}
 		otherSpec := &other.Record.Job
-		if otherSpec.Priority < spec.Priority || isEntitled && s.exceedsGuarantee(otherSpec.Team, spec.Team) {
+		if otherSpec.Priority < spec.Priority || request.overGuarantee[otherSpec.Team] {
 			victims = append(victims, &placement{machine, attempt})
 		}
 	}
--- a/internal/shard/quota.go
+++ b/internal/shard/quota.go
@@ -6,8 +6,8 @@
 	"curlewspool/internal/protocol"
 )
 
-// teamQuota is the number of cores and GPUs that a team may still use. A number without a limit is
-// infinite.
+// teamQuota is a number of cores and GPUs that a team uses or may still use. A number without a limit
+// is infinite.
 type teamQuota struct {
 	cores float64
 	gpus  float64
@@ -44,27 +44,55 @@
 	if config.GPUsMax > 0 {
 		remaining.gpus = config.GPUsMax
 	}
-	for _, machine := range s.Machines {
-		if !machine.Reconciled {
+	for _, machine := range s.machinesByID() {
+		usage := s.teamUsageOf(machine)
+		if !machine.Reconciled || usage.hasUnknownJob {
 			return teamQuota{}
 		}
-		for _, attempt := range machine.Attempts {
-			if attempt.HasEnded() {
-				continue
-			}
-			job := s.Jobs[attempt.Job]
-			if job == nil {
-				return teamQuota{} // the job has finished, so its team is unknown
-			}
-			if job.Record.Job.Team == team {
-				remaining.cores -= job.Record.Job.Cores
-				remaining.gpus -= job.Record.Job.GPUs
-			}
-		}
+		used := usage.byTeam[team]
+		remaining.cores -= used.cores
+		remaining.gpus -= used.gpus
 	}
 	return remaining
 }
 
+// teamUsage is what the attempts on a machine that have not ended use, by team.
+type teamUsage struct {
+	byTeam        map[string]teamQuota
+	hasUnknownJob bool // whether any of them belongs to a job that is not in the shard, so that its team is unknown
+}
+
+// teamUsageOf returns the usage on a machine. The result is cached until the machine's attempts
+// change, because each scheduling pass needs it for each job of a team with a limit.
+func (s *Shard) teamUsageOf(machine *Machine) *teamUsage {
+	if machine.teamUsageVersion != machine.Version {
+		machine.teamUsageVersion = machine.Version
+		machine.teamUsage = s.computeTeamUsage(machine)
+	}
+	return &machine.teamUsage
+}
+
+func (s *Shard) computeTeamUsage(machine *Machine) teamUsage {
+	s.beginMachineOperation(OperationTeamUsage, machine.ID)
+	usage := teamUsage{byTeam: map[string]teamQuota{}}
+	for _, attempt := range machine.Attempts {
+		if attempt.HasEnded() {
+			continue
+		}
+		job := s.Jobs[attempt.Job]
+		if job == nil {
+			usage.hasUnknownJob = true
+			continue
+		}
+		spec := &job.Record.Job
+		used := usage.byTeam[spec.Team]
+		used.cores += spec.Cores
+		used.gpus += spec.GPUs
+		usage.byTeam[spec.Team] = used
+	}
+	return usage
+}
+
 // withinGuarantee reports whether all unfinished tasks of a team together fit into its guarantee.
 // The team's jobs are then scheduled ahead of the jobs of teams for which this is false.
 func (s *Shard) withinGuarantee(team string) bool {
@@ -76,20 +104,27 @@
 	return cores <= config.Cores+epsilon && gpus <= config.GPUs+epsilon
 }
 
-// exceedsGuarantee reports whether a team's tasks in this shard use more than the team's guarantee.
-// The result is always false for the requesting team itself, and true for any other team without
-// settings.
-func (s *Shard) exceedsGuarantee(team, requester string) bool {
-	if team == requester {
-		return false
+// placedByTeam returns what the placed tasks of each team use in this shard.
+func (s *Shard) placedByTeam() map[string]teamQuota {
+	byTeam := map[string]teamQuota{}
+	for _, job := range s.jobsByID() {
+		spec := &job.Record.Job
+		used := byTeam[spec.Team]
+		used.cores += spec.Cores * float64(job.placedTasks)
+		used.gpus += spec.GPUs * float64(job.placedTasks)
+		byTeam[spec.Team] = used
 	}
-	var cores, gpus float64
-	for _, job := range s.Jobs {
-		if job.Record.Job.Team == team {
-			cores += job.Record.Job.Cores * float64(job.placedTasks)
-			gpus += job.Record.Job.GPUs * float64(job.placedTasks)
-		}
+	return byTeam
+}
+
+// teamsOverGuarantee returns the teams whose tasks in this shard use more than the team's guarantee. A
+// team without settings has no guarantee. The requesting team itself is left out.
+func (s *Shard) teamsOverGuarantee(requester string) map[string]bool {
+	over := map[string]bool{}
+	for team, used := range s.placedByTeam() {
+		config := s.controller.Settings().Team(team)
+		exceeds := config == nil || used.cores > config.Cores+epsilon || used.gpus > config.GPUs+epsilon
+		over[team] = team != requester && exceeds
 	}
-	config := s.controller.Settings().Team(team)
-	return config == nil || cores > config.Cores+epsilon || gpus > config.GPUs+epsilon
+	return over
 }
--- a/internal/shard/quota_test.go
+++ b/internal/shard/quota_test.go
@@ -87,7 +87,7 @@
 			_, shard := newShardWithQueuedJob(t) // two tasks of one core are placed
 			shard.Jobs["wk-1"].Record.Job.Team = "t"
 			shard.controller.Settings().Deployment.Teams = test.teams
-			if exceeds := shard.exceedsGuarantee("t", test.requester); exceeds != test.want {
+			if exceeds := shard.teamsOverGuarantee(test.requester)["t"]; exceeds != test.want {
 				t.Errorf("exceeds its guarantee: %v, want %v", exceeds, test.want)
 			}
 		})
--- a/internal/shard/updates.go
+++ b/internal/shard/updates.go
@@ -54,6 +54,9 @@
 		if machine.free.hasUnknownJob { // an attempt of an unknown job may belong to the new job
 			machine.freeVersion = 0
 		}
+		if machine.teamUsage.hasUnknownJob {
+			machine.teamUsageVersion = 0
+		}
 	}
 	slog.Debug("shard: job queued", "shard", s.ID, "job", id, "tasks", record.Job.Tasks, "rank", record.Rank)
 	return job
