shard: count failing machines once per tick, not once per failing machine

Change: the checks of a tick share the counts of the shard and its zones until a machine is retired.

Test: TestFailingMachinesAreCountedOncePerTick.

--- a/internal/shard/activity.go
+++ b/internal/shard/activity.go
@@ -16,6 +16,7 @@
 	OperationEvaluateSuspects Operation = "evaluate suspects"
 	OperationRemoveAttempts   Operation = "remove attempts of finished job"
 	OperationTeamUsage        Operation = "sum up team usage"
+	OperationCountFailing     Operation = "count failing machines"
 	OperationTickJob          Operation = "tick job"
 	OperationTickMachine      Operation = "tick machine"
 )
--- a/internal/shard/eventcost_test.go
+++ b/internal/shard/eventcost_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"testing"
 
 	"curlewspool/internal/agent"
@@ -138,3 +139,18 @@
 		t.Errorf("a pass over unchanged machines sums up the usage of %d machines, want 0", count)
 	}
 }
+
+// The checks of machines in a tick must not go over all machines for each failing machine.
+func TestFailingMachinesAreCountedOncePerTick(t *testing.T) {
+	_, shard := newTestShard(t)
+	for i := range 10 {
+		addTestMachine(t, shard, fmt.Sprintf("i-%d", i))
+	}
+	for _, machine := range shard.Machines {
+		silentSince := shard.controller.Now() - shard.leaseDuration()
+		machine.LastHeartbeat, machine.LastContact = silentSince, silentSince
+	}
+	if count := countOperations(shard, OperationCountFailing, shard.Tick); count != 1 {
+		t.Errorf("the failing machines were counted %d times, want once", count)
+	}
+}
--- a/internal/shard/machine.go
+++ b/internal/shard/machine.go
@@ -82,4 +82,5 @@
 	slog.Info("shard: machine retired", "shard", s.ID, "machine", machine.ID,
 		"type", machine.Type, "spot", machine.Spot, "reason", reason)
 	machine.retireReason = reason
+	s.failing = nil
 }
--- a/internal/shard/machinewatch.go
+++ b/internal/shard/machinewatch.go
@@ -102,10 +102,14 @@
 // and deleting the machines would only destroy work. Without this check, a partition between zones
 // led to the deletion of all 70 machines of a shard's smaller zone.
 func (s *Shard) isIsolatedFailure(machine *Machine, now time.Duration) bool {
-	inShard := s.countFailing(now, func(*Machine) bool { return true })
-	inZone := s.countFailing(now, func(other *Machine) bool {
-		return machine.Zone == "" || other.Zone == machine.Zone
-	})
+	if s.failing == nil || s.failing.countedAt != now {
+		s.failing = s.countFailing(now)
+	}
+	inShard := s.failing.inShard
+	inZone := inShard
+	if machine.Zone != "" {
+		inZone = s.failing.byZone[machine.Zone]
+	}
 	return inShard.all > 1 && inShard.isFew() && inZone.isFew()
 }
 
@@ -117,20 +121,36 @@
 // isFew reports whether at most a third of the machines, or only one, are failing.
 func (f failureCount) isFew() bool { return f.failing*3 <= f.all || f.failing == 1 }
 
-// countFailing counts all machines and the failing machines of a group. It leaves out retiring
-// machines.
-func (s *Shard) countFailing(now time.Duration, isInGroup func(*Machine) bool) failureCount {
-	var count failureCount
+// add counts one machine.
+func (f failureCount) add(isFailing bool) failureCount {
+	f.all++
+	if isFailing {
+		f.failing++
+	}
+	return f
+}
+
+// failureCounts holds the counts of the whole shard and of each zone. The checks of all machines in
+// one tick share them, until a machine is retired.
+type failureCounts struct {
+	countedAt time.Duration
+	inShard   failureCount
+	byZone    map[string]failureCount
+}
+
+// countFailing counts all machines and the failing machines. It leaves out retiring machines.
+func (s *Shard) countFailing(now time.Duration) *failureCounts {
+	s.controller.SetActivity(Activity{Operation: OperationCountFailing})
+	counts := &failureCounts{countedAt: now, byZone: map[string]failureCount{}}
 	for _, machine := range s.Machines {
-		if machine.isRetiring() || !isInGroup(machine) {
+		if machine.isRetiring() {
 			continue
 		}
-		count.all++
-		if now-machine.LastHeartbeat > missedReportIntervals*s.reportInterval() || machine.IsUnreachable() {
-			count.failing++
-		}
+		isFailing := now-machine.LastHeartbeat > missedReportIntervals*s.reportInterval() || machine.IsUnreachable()
+		counts.inShard = counts.inShard.add(isFailing)
+		counts.byZone[machine.Zone] = counts.byZone[machine.Zone].add(isFailing)
 	}
-	return count
+	return counts
 }
 
 // drainBeforePreemption stops the tasks of a spot machine with a preemption notice. A running task
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -46,7 +46,8 @@
 	spotFreeCores      float64            // free cores of spot machines; negative if not yet counted in this tick
 	estimateCorrection map[string]float64 // ratio of measured to estimated runtime, by job class
 	faults             *faults.Attribution
-	requestedMachines  []*Machine // machines for which the current event has requested commands
+	failing            *failureCounts // nil if they must be counted again
+	requestedMachines  []*Machine     // machines for which the current event has requested commands
 
 	// State derived from Machines and Jobs.
 	machineOrder      []*Machine   // sorted by ID; nil if it must be rebuilt
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -24,6 +24,7 @@
 	}
 	s.finishCommandRequests()
 	s.spotFreeCores = -1
+	s.failing = nil
 	for _, machine := range s.machinesByID() {
 		s.beginMachineOperation(OperationTickMachine, machine.ID)
 		s.checkMachine(machine, now)
