shard: bound the tasks that one scheduling pass places

What callers would see: a pass that placed the 100,000 tasks of one job kept the event loop for a quarter of a second on a whole core, a second on the quarter of a core that a controller has: as long as the load balancer waits for GET /up.

Change: a pass ends after 10,000 placed tasks and the next one, an eighth of a report interval later, goes on with the rest in queue order. A gang is placed as a whole. While the rest waits, its job is not the head, and nothing is reserved or preempted for it.

Test: TestPassPlacesBoundedNumberOfTasks (30,000 at once before).

--- a/internal/shard/eventcost_test.go
+++ b/internal/shard/eventcost_test.go
@@ -140,6 +140,23 @@
 	}
 }
 
+// A pass that places very many tasks must not keep the event loop; the next passes place the rest.
+func TestPassPlacesBoundedNumberOfTasks(t *testing.T) {
+	shard, job, _ := newShardWithTinyTasks(t, protocol.ShapeArray, 3*maxPassPlacements, true)
+	for i := range 100 {
+		addTestMachine(t, shard, fmt.Sprintf("i-1%02d", i))
+	}
+	for pass := 1; pass <= 3; pass++ {
+		shard.Schedule()
+		if job.placedTasks != pass*maxPassPlacements {
+			t.Fatalf("%d tasks are placed after %d passes, want %d", job.placedTasks, pass, pass*maxPassPlacements)
+		}
+		if !shard.needsPass || shard.headJob != nil {
+			t.Errorf("after pass %d: needs a pass %v, head %v", pass, shard.needsPass, shard.headJob)
+		}
+	}
+}
+
 // The checks of machines in a tick must not go over all machines for each failing machine.
 func TestFailingMachinesAreCountedOncePerTick(t *testing.T) {
 	_, shard := newTestShard(t)
--- a/internal/shard/placement.go
+++ b/internal/shard/placement.go
@@ -42,6 +42,9 @@
 	spec := &job.Record.Job
 	s.beginJobOperation(OperationSchedule, spec.ID)
 	wanted := s.remainingTeamQuota(spec.Team).limitTasks(spec, job.idleTasks)
+	if !job.isGang() {
+		wanted = min(wanted, s.passPlacements)
+	}
 	if job.suspect && !job.isGang() {
 		wanted = min(wanted, 1)
 	}
@@ -61,6 +64,7 @@
 		return false
 	}
 	s.placeTasks(job, plan, now)
+	s.passPlacements -= len(plan)
 	slog.Debug("shard: tasks placed", "shard", s.ID, "job", spec.ID, "tasks", len(plan), "waiting", job.idleTasks)
 	job.waitReason = waitMoreCapacity
 	return job.idleTasks == 0
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -2,6 +2,11 @@
 
 import "time"
 
+// maxPassPlacements is the number of tasks after which a pass ends; the next pass goes on with the
+// rest. It bounds the time for which a pass keeps the event loop. The last job of a pass may exceed it
+// if it is a gang, whose tasks start together.
+const maxPassPlacements = 10_000
+
 // Schedule runs a scheduling pass. It starts jobs in queue order. The first job that cannot start
 // completely becomes the head of the queue, for which capacity is reserved. Later jobs start only if
 // they do not delay the head (EASY backfilling; paper, section 4, "Local-Scheduler"). At the end of
@@ -22,8 +27,14 @@
 	queue := s.queueByScore(now)
 	capacities := s.freeCapacities(now)
 	s.headJob = nil
+	s.passPlacements = maxPassPlacements
 	for _, job := range queue {
 		isPlaced := s.startTasks(job, capacities, now)
+		if s.passPlacements <= 0 {
+			s.needsPass = true
+			s.publishReservations(capacities)
+			return
+		}
 		if isPlaced || s.headJob != nil || job.suspect {
 			continue
 		}
@@ -80,6 +91,7 @@
 	if reservation := machine.reservation; reservation != nil {
 		remaining.reserve(reservation.reservedFrom, reservation.unreserved)
 	}
+	s.passPlacements = maxPassPlacements
 	isReserved := remaining.isReserved
 	capacities := []*freeCapacity{&remaining}
 	for _, job := range s.queueByScore(now) {
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -41,6 +41,7 @@
 	// Scheduling.
 	needsPass          bool // something has changed since the last scheduling pass
 	lastPassAt         time.Duration
+	passPlacements     int                // number of tasks that the current pass may still place
 	attemptCounter     uint64             // number of attempts created under this token
 	headJob            *QueuedJob         // queued job for which capacity is reserved; nil if there is none
 	spotFreeCores      float64            // free cores of spot machines; negative if not yet counted in this tick
