controller: refresh what jobs inherit once per batch of records

Cause: onJobRecordChanged listed all direct and transitive dependencies of each waiting job, to have the shards recompute what these inherit.

Change: a changed record marks its direct dependencies; onCacheAdvanced, which follows each batch of changes and the load, goes over all that is upstream of them once.

--- a/internal/controller/dependencies.go
+++ b/internal/controller/dependencies.go
@@ -32,17 +32,19 @@
 
 // dependencyState holds what a controller knows of jobs that wait for dependencies.
 type dependencyState struct {
-	graph             *dependency.Graph
-	readingOutcomes   map[string]bool          // jobs whose outcome is being read
-	transactionSentAt map[string]time.Duration // by job ID: when the job's transaction in flight was sent
-	releasedCount     int                      // number of jobs released since the controller started
-	cancelledCount    int                      // number of jobs cancelled with a dependency since the controller started
+	graph              *dependency.Graph
+	inheritanceChanged []string                 // jobs that have to recompute what they inherit, with all their dependencies
+	readingOutcomes    map[string]bool          // jobs whose outcome is being read
+	transactionSentAt  map[string]time.Duration // by job ID: when the job's transaction in flight was sent
+	releasedCount      int                      // number of jobs released since the controller started
+	cancelledCount     int                      // number of jobs cancelled with a dependency since the controller started
 }
 
 // reset starts a new graph when the cache is reloaded. isLive reports whether the cache has a
 // job's record.
 func (d *dependencyState) reset(isLive func(id string) bool) {
 	d.graph = dependency.NewGraph(isLive)
+	d.inheritanceChanged = nil
 	d.readingOutcomes = map[string]bool{}
 	d.transactionSentAt = map[string]time.Duration{}
 }
@@ -262,9 +264,22 @@
 	return &effective
 }
 
-// refreshInherited makes the shards recompute what jobs inherit from the jobs that wait for them.
-func (c *Controller) refreshInherited(ids []string) {
-	for _, id := range ids {
+// markInheritanceChanged records that the jobs on which a waiting job depends have to recompute what
+// they inherit.
+func (d *dependencyState) markInheritanceChanged(id string) {
+	d.inheritanceChanged = append(d.inheritanceChanged, d.graph.Dependencies(id)...)
+}
+
+// refreshInherited makes the shards recompute what jobs inherit from the jobs that wait for them,
+// where that may have changed. It runs once after a batch of changed records: if it ran after each
+// record, the records of a chain of jobs would cost the square of the chain's length.
+func (c *Controller) refreshInherited() {
+	changed := c.dependencies.inheritanceChanged
+	if len(changed) == 0 {
+		return
+	}
+	c.dependencies.inheritanceChanged = nil
+	for _, id := range c.dependencies.graph.WithUpstream(changed) {
 		c.eachShard(func(s *shard.Shard) { s.RefreshInherited(id) })
 	}
 }
--- a/internal/controller/keychanges.go
+++ b/internal/controller/keychanges.go
@@ -39,6 +39,7 @@
 
 func (c *Controller) onCacheAdvanced() {
 	c.deleteRemovedMachines()
+	c.refreshInherited()
 	c.eachShard(func(owned *shard.Shard) { owned.CacheAdvanced() })
 	c.processDependencies()
 }
@@ -73,9 +74,8 @@
 	}
 	delete(c.jobs, id)
 	delete(c.knownCancelled, id)
-	upstream := graph.Upstream(id)
+	c.dependencies.markInheritanceChanged(id)
 	graph.Remove(id)
-	c.refreshInherited(upstream)
 	if c.federation != nil {
 		c.federation.JobChanged(id, nil)
 	}
@@ -91,7 +91,7 @@
 	c.jobs[id] = record
 	graph := c.dependencies.graph
 	graph.Update(id, record.Job.Dependencies, record.AwaitsDependencies(), urgencyOf(record))
-	c.refreshInherited(graph.Upstream(id))
+	c.dependencies.markInheritanceChanged(id)
 	if record.AwaitsDependencies() {
 		return // a job that awaits dependencies affects neither shards nor capacity
 	}
--- a/internal/dependency/dependency.go
+++ b/internal/dependency/dependency.go
@@ -237,24 +237,29 @@
 	return inherited
 }
 
-// Upstream lists the direct and transitive dependencies of a waiting job.
-func (g *Graph) Upstream(id string) []string {
+// Dependencies lists the direct dependencies of a waiting job.
+func (g *Graph) Dependencies(id string) []string {
 	if !g.IsWaiting(id) {
 		return nil
 	}
+	return g.nodes[id].dependencies
+}
+
+// WithUpstream lists the given jobs and their direct and transitive dependencies, each job once.
+func (g *Graph) WithUpstream(ids []string) []string {
 	var upstream []string
 	seen := map[string]bool{}
-	var visit func(id string)
-	visit = func(id string) {
-		for _, dependencyID := range g.nodes[id].dependencies {
-			if !seen[dependencyID] {
-				seen[dependencyID] = true
-				upstream = append(upstream, dependencyID)
-				visit(dependencyID)
+	var visit func(ids []string)
+	visit = func(ids []string) {
+		for _, id := range ids {
+			if !seen[id] {
+				seen[id] = true
+				upstream = append(upstream, id)
+				visit(g.Dependencies(id))
 			}
 		}
 	}
-	visit(id)
+	visit(ids)
 	return upstream
 }
 
@@ -313,7 +318,7 @@
 // job still has to wait.
 func (g *Graph) UnreadUpstreamOutcomes(id string) []string {
 	var unread []string
-	for _, dependencyID := range g.Upstream(id) {
+	for _, dependencyID := range g.WithUpstream(g.Dependencies(id)) {
 		if g.unread[dependencyID] {
 			unread = append(unread, dependencyID)
 		}
--- a/internal/dependency/dependency_test.go
+++ b/internal/dependency/dependency_test.go
@@ -232,3 +232,15 @@
 		t.Errorf("InheritedUrgency(wk-first) without the last stage = %+v, want priority level 1 and no due time", got)
 	}
 }
+
+func TestWithUpstreamListsEachJobOnce(t *testing.T) {
+	g := NewGraph(func(string) bool { return true })
+	for _, edge := range [][]string{{"wk-1", "wk-0"}, {"wk-2", "wk-0"}, {"wk-3", "wk-1", "wk-2"}} {
+		g.Update(edge[0], edge[1:], true, Urgency{})
+	}
+	got := g.WithUpstream([]string{"wk-3", "wk-1", "wk-3"})
+	slices.Sort(got)
+	if want := []string{"wk-0", "wk-1", "wk-2", "wk-3"}; !slices.Equal(got, want) {
+		t.Errorf("WithUpstream = %v, want %v", got, want)
+	}
+}
