agent: bound a message of commands by its size, not only by their number

What agents would see: with job IDs of 103 characters, the longest that are accepted, 400 launches take 66,070 bytes and 400 stops 76,870, above PROTOCOL's 64 KiB for a response or a body.

Change: a message has space for 400 commands and for 64 KiB less 256 bytes, whichever ends first; StopsExceedAnswer, which keeps an answer from renewing a lease while stops are left out, asks the same space. With IDs of the usual form the number decides, as before.

Test: TestCommandsFitIntoMessage (before: the sizes above).

--- a/internal/agent/commands.go
+++ b/internal/agent/commands.go
@@ -7,9 +7,32 @@
 	"curlewspool/internal/protocol"
 )
 
-// maxCommands is the maximum number of commands in a message. It keeps the message below the
-// protocol's limit of 64 KiB.
-const maxCommands = 400
+const (
+	// maxCommands is the maximum number of commands in a message.
+	maxCommands = 400
+	// maxCommandBytes is the maximum encoded size of the commands in a message. It leaves space for
+	// the rest of the message.
+	maxCommandBytes = protocol.MaxBodyBytes - 256
+)
+
+// messageSpace is what further commands of a message may take.
+type messageSpace struct {
+	commands int
+	bytes    int
+}
+
+func newMessageSpace() messageSpace { return messageSpace{maxCommands, maxCommandBytes} }
+
+// take takes the space of a command about an attempt. It returns false if the space does not suffice.
+func (m *messageSpace) take(attempt *Attempt) bool {
+	size := protocol.CommandSize(attempt.Job)
+	if m.commands < 1 || m.bytes < size {
+		return false
+	}
+	m.commands--
+	m.bytes -= size
+	return true
+}
 
 // stopRepeatInterval is the minimum time between direct commands to stop an attempt that
 // has not ended (see isDirectStopDue).
@@ -31,18 +54,21 @@
 // left out and all other commands are returned: a condition that holds back launches must not
 // delay stops.
 func (m *Machine) NextCommands(delivery Delivery, allowLaunch bool, now time.Duration) []protocol.Command {
-	// The stops come first, so that the limit maxCommands leaves out other commands rather than stops.
-	stops := m.stopCommands(delivery, now)
+	// The stops come first, so that the message's limits leave out other commands rather than stops.
+	space := newMessageSpace()
+	stops := m.stopCommands(delivery, &space, now)
 	var acknowledgements, launches []protocol.Command
 	var launched []*Attempt
 	for attempt := range m.AllAttempts() {
-		if len(stops)+len(acknowledgements)+len(launches) >= maxCommands {
+		isAcknowledged := m.canAcknowledge(attempt)
+		isLaunched := !isAcknowledged && allowLaunch && m.canLaunch(attempt, delivery, now)
+		if (isAcknowledged || isLaunched) && !space.take(attempt) {
 			break
 		}
 		switch {
-		case m.canAcknowledge(attempt):
+		case isAcknowledged:
 			acknowledgements = append(acknowledgements, m.acknowledge(attempt))
-		case allowLaunch && m.canLaunch(attempt, delivery, now):
+		case isLaunched:
 			launches = append(launches, m.launch(attempt, delivery, now))
 			launched = append(launched, attempt)
 		}
@@ -54,8 +80,8 @@
 	return slices.Concat(stops, acknowledgements, launches)
 }
 
-// stopCommands returns the commands to stop attempts and records them as sent.
-func (m *Machine) stopCommands(delivery Delivery, now time.Duration) []protocol.Command {
+// stopCommands returns the commands to stop attempts, takes their space and records them as sent.
+func (m *Machine) stopCommands(delivery Delivery, space *messageSpace, now time.Duration) []protocol.Command {
 	var stops []protocol.Command
 	for attempt := range m.AllAttempts() {
 		// An answer renews the machine's lease. The home cluster relies on the rule that
@@ -66,7 +92,7 @@
 			attempt.StopRequested = true
 			attempt.GraceSeconds = 0
 		}
-		if attempt.needsStop() && (mustStop || len(stops) < maxCommands) {
+		if attempt.needsStop() && (space.take(attempt) || mustStop) {
 			stops = append(stops, attempt.stopCommand(now))
 		}
 	}
@@ -146,14 +172,14 @@
 // an answer would renew the machine's lease although some of these attempts go on running. No
 // answer is then sent, and the stops are sent as direct commands, which do not renew the lease.
 func (m *Machine) StopsExceedAnswer(now time.Duration) bool {
-	count := 0
+	space := newMessageSpace()
 	for _, attempt := range m.Attempts {
-		// The stops at the end of a remote lease are not limited by maxCommands.
-		if attempt.needsStop() && !attempt.remoteLeaseExpired(now) {
-			count++
+		// The stops at the end of a remote lease are not limited.
+		if attempt.needsStop() && !attempt.remoteLeaseExpired(now) && !space.take(attempt) {
+			return true
 		}
 	}
-	return count > maxCommands
+	return false
 }
 
 // HasExpiredRemoteLease reports whether an answer would have to stop a hosted task because its
--- a/internal/protocol/agent.go
+++ b/internal/protocol/agent.go
@@ -123,6 +123,12 @@
 	GraceSeconds *float64    `cbor:"leewayS,omitempty"`
 }
 
+// commandOverhead is the maximum size of an encoded command without the job's ID, in the JSON form.
+const commandOverhead = 97
+
+// CommandSize returns the maximum encoded size of a command about a task of a job, in bytes.
+func CommandSize(job string) int { return len(job) + commandOverhead }
+
 // CommandBatch is the response to a report, and the body of POST /orders. Incarnation is set only in
 // POST /orders.
 type CommandBatch struct {
