--- a/internal/simulator/exchange.go
+++ b/internal/simulator/exchange.go
@@ -49,6 +49,9 @@
 		n.OnRequest(from, method, path)
 	}
 	n.notifyTraffic(Traffic{From: from, To: to, Method: method, Path: path, Body: body})
+	if len(body) > protocol.MaxBodyBytes {
+		n.reportViolation(RuleMessageSize, "%s sends %d bytes to %s%s", from, len(body), to, path)
+	}
 	x := &exchange{network: n, from: from, to: to, method: method, path: path, body: body, out: out, done: done}
 	n.after(timeout, func() { x.finish(noAnswer) })
 	x.send()
--- a/internal/simulator/invariants.go
+++ b/internal/simulator/invariants.go
@@ -43,6 +43,9 @@
 	RuleAnswerDecodable Rule = "unreadable"
 	// RuleInvalidRefused states that submissions of jobs that are invalid or can never run are refused.
 	RuleInvalidRefused Rule = "accepted_invalid"
+	// RuleMessageSize states that the bodies of requests are within the protocol's limit. They are
+	// measured in CBOR, which is shorter than the JSON form that the protocol counts.
+	RuleMessageSize Rule = "too_large"
 	// RuleSettingsValid states that the settings of an upgrade are accepted.
 	RuleSettingsValid Rule = "settings_refused"
 )
