--- a/internal/shard/offload.go
+++ b/internal/shard/offload.go
@@ -97,6 +97,6 @@
 	offloaded.LeaseNumber = record.LastRemoteLeaseNumber
 	offloaded.OffloadedAt = s.controller.WallSeconds()
 	record.OffloadedChunks = append(append([]OffloadedChunk(nil), record.OffloadedChunks...), offloaded)
-	record.DoneRanges = MergeRanges(0, record.DoneRanges, job.doneTasks(from, to))
+	record.DoneRanges = MergeRanges(0, record.DoneRanges, job.appendDoneRanges(nil, from, to))
 	return record
 }
--- a/internal/shard/taskranges.go
+++ b/internal/shard/taskranges.go
@@ -48,19 +48,9 @@
 func (q *QueuedJob) doneRanges(shardID, limit int) [][2]int {
 	var ranges [][2]int
 	for chunk, chunkShard := range q.Record.ChunkShards {
-		if chunkShard != shardID {
-			continue
-		}
-		from, to := q.Record.TaskRange(chunk)
-		for task := from; task < to; task++ {
-			if q.taskStates[task] != taskDone {
-				continue
-			}
-			if n := len(ranges); n > 0 && ranges[n-1][1] == task-1 {
-				ranges[n-1][1] = task
-			} else {
-				ranges = append(ranges, [2]int{task, task})
-			}
+		if chunkShard == shardID {
+			from, to := q.Record.TaskRange(chunk)
+			ranges = q.appendDoneRanges(ranges, from, to)
 		}
 	}
 	if fit := limit / maxEncodedRangeSize; len(ranges) > fit {
@@ -72,11 +62,16 @@
 	return ranges
 }
 
-// doneTasks returns the finished tasks in the half-open range [from, to), each as a range of one
-// task.
-func (q *QueuedJob) doneTasks(from, to int) (ranges [][2]int) {
+// appendDoneRanges appends the finished tasks in the half-open range [from, to) to ranges of earlier
+// tasks. Adjacent tasks are in one range.
+func (q *QueuedJob) appendDoneRanges(ranges [][2]int, from, to int) [][2]int {
 	for task := from; task < to; task++ {
-		if q.taskStates[task] == taskDone {
+		if q.taskStates[task] != taskDone {
+			continue
+		}
+		if n := len(ranges); n > 0 && ranges[n-1][1] == task-1 {
+			ranges[n-1][1] = task
+		} else {
 			ranges = append(ranges, [2]int{task, task})
 		}
 	}
