shard: check the machines of a failed gang again at each report, as before

Cause: since gangs are stopped once, a machine that had commands in flight when its gang failed got its stops at the next tick. Before, the end of each task of the gang checked all its machines again.

Change: the machines that were told to stop tasks are kept, and checked again once for each report that ends tasks of the gang.

Test: TestMachinesOfFailedGangAreCheckedAgain (no commands to the other machine before).

--- a/internal/shard/attempts.go
+++ b/internal/shard/attempts.go
@@ -61,6 +61,7 @@
 		job.gangFailed = false
 		job.gangStopping = false
 		job.gangCleared = false
+		job.gangMachines = nil
 		job.gangAttempt = 0
 	}
 }
@@ -69,6 +70,8 @@
 // because the gang was stopped in an orderly way.
 func (s *Shard) stopRemainingGang(job *QueuedJob) {
 	s.beginJobOperation(OperationStopGang, job.Record.Job.ID)
+	job.gangMachines = nil
+	isListed := map[*Machine]bool{}
 	for _, placed := range job.sortedPlacements() {
 		if job.gangStopping && placed.attempt.StopRequested {
 			continue
@@ -76,6 +79,10 @@
 		wasNotLaunched := placed.machine.RequestStop(placed.attempt, 0)
 		if !wasNotLaunched {
 			s.requestCommands(placed.machine)
+			if !isListed[placed.machine] {
+				isListed[placed.machine] = true
+				job.gangMachines = append(job.gangMachines, placed.machine)
+			}
 			continue
 		}
 		delete(job.placements, placed.attempt.TaskID)
@@ -83,6 +90,24 @@
 	}
 }
 
+// recheckStoppedGangs requests commands again for the machines of failed gangs of which the events end
+// tasks. The stops of a machine that had commands in flight before then need not wait for a tick.
+func (s *Shard) recheckStoppedGangs(events []agent.Event) {
+	rechecked := map[*QueuedJob]bool{}
+	for _, event := range events {
+		job := s.Jobs[event.Attempt.Job]
+		if job == nil || !job.gangCleared || job.gangStopping || rechecked[job] {
+			continue
+		}
+		rechecked[job] = true
+		for _, machine := range job.gangMachines {
+			if machine.HasAttemptsOf(job.Record.Job.ID) {
+				s.requestCommands(machine)
+			}
+		}
+	}
+}
+
 // stopAttempt stops a task. If the task belongs to a gang, the whole gang is stopped. Tasks that
 // save checkpoints get a grace period. The reason is only logged.
 func (s *Shard) stopAttempt(job *QueuedJob, placed *placement, reason string) {
--- a/internal/shard/eventcost_test.go
+++ b/internal/shard/eventcost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"curlewspool/internal/agent"
@@ -67,6 +68,32 @@
 	}
 }
 
+// The stops of a machine that had commands in flight when its gang failed are sent at the next end of
+// a task of the gang.
+func TestMachinesOfFailedGangAreCheckedAgain(t *testing.T) {
+	_, shard := newTestShard(t)
+	addTestMachine(t, shard, "i-1")
+	addTestMachine(t, shard, "i-2")
+	spec := protocol.Job{ID: "wk-1", Shape: protocol.ShapeGang, Tasks: 8, Cores: 1, Estimate: 9}
+	shard.UpdateJob(spec.ID, &JobRecord{Job: spec, ChunkSize: spec.Tasks, ChunkShards: []int{0}}, 3)
+	shard.Jobs["wk-1"].recordedMachines.every = true
+	launchAll(t, shard, shard.Jobs["wk-1"], shard.Machines["i-1"])
+	first, second := shard.Machines["i-1"], shard.Machines["i-2"]
+	second.NextCommands(agent.InAnswer, true, shard.controller.Now())
+	second.CommandsSent()
+	report := reportOf(first, 2, protocol.TaskRunning, "")
+	report.Tasks[0].State, report.Tasks[0].Cause = protocol.TaskEnded, protocol.CauseError
+	shard.HandleReport(first, report, agent.Posted)
+	second.CommandsAnswered()
+	controller := shard.controller.(*fakeController)
+	controller.sentTo = nil
+	report = reportOf(first, 3, protocol.TaskEnded, protocol.CauseStopped)
+	shard.HandleReport(first, report, agent.Posted)
+	if !slices.Contains(controller.sentTo, "i-2") {
+		t.Errorf("commands were sent to %v, want i-2 among them", controller.sentTo)
+	}
+}
+
 // A task of a failed attempt that a machine reports late, after a takeover, is stopped as well.
 func TestLateTaskOfFailedGangIsStopped(t *testing.T) {
 	shard, job, machine := newShardWithTinyTasks(t, protocol.ShapeGang, 3, true)
--- a/internal/shard/helpers_test.go
+++ b/internal/shard/helpers_test.go
@@ -54,6 +54,7 @@
 	// launchChecks counts the calls of CanLaunch, of which there is one for each check of a machine's
 	// direct commands.
 	launchChecks int
+	sentTo       []string          // machines to which commands were sent
 	deadlines    []float64         // of all jobs
 	operations   map[Operation]int // counts the calls of SetActivity
 }
@@ -65,7 +66,6 @@
 func (c *fakeController) MachineType(string) *protocol.MachineType {
 	return &protocol.MachineType{Name: "small", Cores: 4, MemoryGB: 16, BootSeconds: 10}
 }
-func (c *fakeController) SendCommands(*Shard, *Machine)              {}
 func (c *fakeController) HasDemandFor(*Machine, bool) bool           { return true }
 func (c *fakeController) LargeJobs() map[string]LargeJob             { return nil }
 func (c *fakeController) Deadlines(*protocol.Job) []float64          { return c.deadlines }
@@ -81,6 +81,10 @@
 	c.operations[activity.Operation]++
 }
 
+func (c *fakeController) SendCommands(_ *Shard, machine *Machine) {
+	c.sentTo = append(c.sentTo, machine.ID)
+}
+
 func (c *fakeController) CanLaunch() bool {
 	c.launchChecks++
 	return true
--- a/internal/shard/queuedjob.go
+++ b/internal/shard/queuedjob.go
@@ -43,10 +43,11 @@
 	moveInFlight      bool                        // a write that moves or offloads a chunk is in flight
 
 	// Gangs.
-	gangAttempt  uint64 // number of the attempt that all tasks share; 0: none
-	gangFailed   bool   // the attempt has failed and its remaining tasks are being removed
-	gangStopping bool   // the attempt is being preempted or drained
-	gangCleared  bool   // the attempt has failed, and all its tasks that are placed have been told to stop
+	gangAttempt  uint64     // number of the attempt that all tasks share; 0: none
+	gangFailed   bool       // the attempt has failed and its remaining tasks are being removed
+	gangStopping bool       // the attempt is being preempted or drained
+	gangCleared  bool       // the attempt has failed, and all its tasks that are placed have been told to stop
+	gangMachines []*Machine // machines on which tasks were told to stop; set with gangCleared
 
 	// Scheduling.
 	queuedAt       time.Duration            // when this owner added the job to the shard
--- a/internal/shard/reports.go
+++ b/internal/shard/reports.go
@@ -48,6 +48,7 @@
 			s.handleLost(machine, event.Attempt)
 		}
 	}
+	s.recheckStoppedGangs(events)
 	if hasFailures {
 		s.evaluateSuspects(s.controller.Now())
 	}
