--- a/review/_rig/case_sick.go
+++ b/review/_rig/case_sick.go
@@ -2,55 +2,48 @@
 
 import "time"
 
-func init() { cases["x2"] = healedMachine }
+func init() { cases["8"] = healedMachine }
 
-// healedMachine: the one machine that a job may use fails every task that starts on it for some
-// seconds and is sound from then on. The job has to go on within 90 s, as the machine has room.
+// healedMachine: the one machine that a job may use fails the tasks that start on it for four seconds
+// and is sound from then on.
 func healedMachine(rec *recorder, trouble bool) {
-	c := newCluster(rec, small(), bigTypes())
+	c := newCluster(rec, small(), compressorTypes())
 	defer c.stop()
 	w := c.cloud.add("turbine", "thies-hall", false)
 	c.startAll()
-	c.await("the machine has an owner's token", 20*time.Second, func() bool {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		return w.baton > 0
-	})
-	time.Sleep(3 * time.Second)
+	c.awaitTokens(w)
 	if trouble {
 		w.set(func() { w.sick = true })
 		rec.logf("trouble: %s fails every task that starts on it", w.id)
 	}
-	job := &jobSpec{id: "wk-000001", trade: "vibration-scan", crew: "atelier-central", shape: "batch", rank: "standard", pieces: 8,
-		cores: 1, memory: 1, builds: []string{"turbine"}, reckon: 3, runS: 3, pull: 0.2, loaners: true}
-	if status := c.submit(job, "kiln-0", "kiln-1", "kiln-2"); status != 201 && status != 200 {
+	scan := func(id, kit string) *jobSpec {
+		return &jobSpec{id: id, trade: "vibration-scan", crew: "atelier-central", shape: "batch", rank: "standard", pieces: 8,
+			cores: 1, memory: 1, builds: []string{"turbine"}, reckon: 3, runS: 3, pull: 0.2, loaners: true, kit: kit}
+	}
+	job, other := scan(jobID(1), "img-01"), scan(jobID(2), "img-02")
+	if status := c.submit(job, c.dep.nodes...); status != 200 && status != 201 {
 		cannotRun("the job was answered with %d", status)
 	}
 	time.Sleep(4 * time.Second)
 	w.set(func() { w.sick = false })
 	rec.logf("%s is sound from now on", w.id)
-	soundSince := time.Now()
-	// Another job shows that the machine is used and has room.
-	other := *job
-	other.id, other.kit = "wk-000002", "img-02"
-	c.submit(&other, "kiln-1", "kiln-2", "kiln-0")
-	idle := true
-	c.wait(95*time.Second, func() bool {
-		time.Sleep(900 * time.Millisecond)
-		c.ask(other.id, "kiln-1")
-		_, state := c.ask(job.id, "kiln-1")
-		c.site.mu.Lock()
-		defer c.site.mu.Unlock()
-		for _, l := range c.site.launches {
-			if l.at.After(soundSince) && l.piece[:len(job.id)] == job.id {
-				idle = false
-			}
+	sound := time.Now()
+	c.submit(other, c.dep.nodes...) // shows that the machine is used
+	stop := make(chan struct{})
+	defer close(stop)
+	go c.poll(stop, job, other)
+	isDone := false
+	hadRoom := true
+	for time.Since(sound) < roomRule+2*time.Second {
+		time.Sleep(200 * time.Millisecond)
+		hadRoom = hadRoom && w.hasRoom(job.cores, job.memory)
+		if c.launchesSince(job.id, sound) > 0 {
+			isDone = true
+			break
 		}
-		return state.Status == "done"
-	})
-	_, state := c.ask(job.id, "kiln-2")
-	waited := time.Since(soundSince).Seconds()
-	if state.Status != "done" && waited > 90 && idle {
-		rec.violation("%s has waited for %.0f s since the machine is sound, and nothing of it was started there", job.id, waited)
+	}
+	if _, state := c.ask(job.id, "kiln-2"); !isDone && hadRoom && state.Status == "pending" {
+		rec.violation("left waiting: %s has waited for more than 90 s while %s, sound again, had room for it (%d tasks of another job were started there)",
+			job.id, w.id, c.launchesSince(other.id, sound))
 	}
 }
--- a/review/_rig/case_swarm.go
+++ b/review/_rig/case_swarm.go
@@ -5,20 +5,20 @@
 	"time"
 )
 
-func init() { cases["x5"] = hiddenGang }
+func init() { cases["4"] = hiddenGang }
 
-// shardOf is the part of the cluster in which all jobs of a team with a limit are kept: the project's
-// own rule, used only to aim the swarm.
-func shardOf(team string, count int) int {
+// partOfTeam is the part of the cluster that has all jobs of a team with a limit. It is the project's
+// own rule and is used only to aim the swarm.
+func partOfTeam(team string, parts int) int {
 	hash := 0
 	for _, character := range []byte(team) {
 		hash = (hash*31 + int(character)) % (1 << 20)
 	}
-	return hash % count
+	return hash % parts
 }
 
-// partOfMachines reads which part of the cluster each machine is in.
-func (c *cluster) partOfMachines() map[string]int {
+// partsOfMachines reads which part of the cluster each machine is in, to aim the swarm.
+func (c *cluster) partsOfMachines() map[string]int {
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
 	parts := map[string]int{}
@@ -39,71 +39,58 @@
 	return parts
 }
 
-// hiddenGang: a swarm of one-task jobs of a guest team, which is at its limit, waits in one part of
-// the cluster; a linked load test that needs all turbines is submitted.
+// hiddenGang: a swarm of one-task jobs of a guest team that is at its limit waits in one part of the
+// cluster; then a linked load test that needs all three turbines is submitted.
 func hiddenGang(rec *recorder, trouble bool) {
 	dep := small()
-	guests := map[int]string{}
+	guests := map[int]string{} // a guest team for each part of the cluster
 	for i := 0; len(guests) < len(dep.nodes); i++ {
 		name := fmt.Sprintf("ecole-meca-%d", i)
-		if part := shardOf(name, len(dep.nodes)); guests[part] == "" {
+		if part := partOfTeam(name, len(dep.nodes)); guests[part] == "" {
 			guests[part] = name
 			dep.teams += fmt.Sprintf("\n[[deployment.teams]]\nname = %q\ncpus = 0.0\ncpus_max = 2.0\ngpus = 0.0\ngpus_max = 0.0\n", name)
 		}
 	}
-	c := newCluster(rec, dep, bigTypes())
+	c := newCluster(rec, dep, compressorTypes())
 	defer c.stop()
-	const turbines = 3
-	var machines []*worker
-	for i := range turbines {
-		machines = append(machines, c.cloud.add("turbine", dep.zones[i%2], false))
+	var turbines []*worker
+	for range 3 {
+		turbines = append(turbines, c.cloud.add("turbine", "thies-hall", false))
 	}
-	c.startAll()
-	c.await("the machines have an owner's token", 20*time.Second, func() bool {
-		for _, w := range machines {
-			w.mu.Lock()
-			token := w.baton
-			w.mu.Unlock()
-			if token == 0 {
-				return false
-			}
-		}
-		return true
-	})
-	time.Sleep(2 * time.Second)
-	perPart := map[int]int{}
-	for id, part := range c.partOfMachines() {
-		rec.logf("machine %s is in part %d", id, part)
-		perPart[part]++
+	for range 16 { // the swarm runs on these
+		c.cloud.add("piston", "thies-hall", false)
 	}
-	fmt.Println(perPart)
+	c.startAll()
+	c.awaitTokens(turbines...)
+	parts, count := c.partsOfMachines(), map[int]int{}
 	largest := 0
-	for part, n := range perPart {
-		if n > perPart[largest] {
-			largest = part
+	for _, w := range turbines {
+		rec.logf("machine %s is in part %d", w.id, parts[w.id])
+		count[parts[w.id]]++
+		if count[parts[w.id]] > count[largest] {
+			largest = parts[w.id]
 		}
 	}
-	if perPart[largest] == turbines {
-		cannotRun("all turbines are in one part")
+	if count[largest] != 2 {
+		cannotRun("the turbines are not two in one part and one in another")
 	}
 	if trouble {
-		for i := range 84 { // 7.5 a second
-			id := fmt.Sprintf("wk-%06d", 1000+i)
-			go c.submit(&jobSpec{id: id, trade: "part-lookups", crew: guests[largest], shape: "batch", rank: "best_effort", pieces: 1,
-				cores: 0.25, memory: 0.9, reckon: 150, runS: 150, pull: 0.5, loaners: true, kit: "img-09"}, c.dep.nodes[i%3])
+		rec.logf("trouble: a swarm of one-task jobs of the guest team %s, 7.5 a second", guests[largest])
+		for i := range 84 {
+			go c.submit(&jobSpec{id: jobID(1000 + i), trade: "part-lookups", crew: guests[largest], shape: "batch", rank: "best_effort", pieces: 1,
+				cores: 0.25, memory: 0.9, reckon: 150, runS: 150, pull: 0.5, loaners: true, kit: "img-09"}, dep.nodes[i%len(dep.nodes)])
 			time.Sleep(134 * time.Millisecond)
 		}
 		time.Sleep(time.Second)
 	}
-	load := gang("wk-900000", turbines)
-	c.submit(load, "kiln-0", "kiln-1", "kiln-2")
-	since := time.Now()
-	done := c.wait(93*time.Second, func() bool {
-		time.Sleep(900 * time.Millisecond)
-		_, state := c.ask(load.id, "kiln-1")
-		return state.Status == "running" || state.Status == "done"
-	})
-	if !done {
-		rec.violation("%s has waited for %.0f s while each of the %d turbines had room for a task of it", load.id, time.Since(since).Seconds(), turbines)
+	load := loadTest(jobID(num("LOAD_ID", 900000)), len(turbines))
+	if status := c.submit(load, dep.nodes...); status != 200 && status != 201 {
+		cannotRun("the load test was answered with %d", status)
+	}
+	stop := make(chan struct{})
+	defer close(stop)
+	go c.poll(stop, load)
+	if c.watchWaiting(93*time.Second, turbines, load) {
+		rec.violation("left waiting: %s has waited for more than 90 s while each of the three turbines had room for a task of it", load.id)
 	}
 }
--- a/review/_rig/chaos.go
+++ b/review/_rig/chaos.go
@@ -11,7 +11,7 @@
 	"time"
 )
 
-func init() { cases["x9"] = chaos }
+func init() { cases["chaos"] = chaos }
 
 type known struct {
 	spec      *jobSpec
@@ -174,10 +174,10 @@
 	return ""
 }
 
-var yards sync.Map
+var machineByID sync.Map
 
 func (c *cloud) byID(id string) *worker {
-	if m, ok := yards.Load(id); ok {
+	if m, ok := machineByID.Load(id); ok {
 		return m.(*worker)
 	}
 	return nil
@@ -212,7 +212,7 @@
 	rng := rand.New(rand.NewSource(seed))
 	dep := small()
 	dep.teams += "\n[[deployment.teams]]\nname = \"ecole-meca\"\ncpus = 0.0\ncpus_max = 12.0\ngpus = 0.0\ngpus_max = 0.0\n"
-	c := newCluster(rec, dep, bigTypes())
+	c := newCluster(rec, dep, compressorTypes())
 	defer c.stop()
 	r := &chaosRun{cluster: c, jobs: map[string]*known{}, seed: seed}
 	c.site.onArrive = r.arrived
@@ -221,7 +221,7 @@
 	start := c.cloud.start
 	c.cloud.start = func(id string, t machineType, yard string, spot bool) *worker {
 		w := start(id, t, yard, spot)
-		yards.Store(id, w)
+		machineByID.Store(id, w)
 		wmu.Lock()
 		workers = append(workers, w)
 		wmu.Unlock()
@@ -236,7 +236,7 @@
 	}
 	c.startAll()
 	begin := time.Now()
-	until := begin.Add(95 * time.Second)
+	until := begin.Add(time.Duration(num("LASTS", 95)) * time.Second)
 	go r.watchCancelled(until)
 	var group sync.WaitGroup
 	total := num("JOBS", 40)
@@ -246,8 +246,17 @@
 			kit: fmt.Sprintf("img-%d", rng.Intn(3))}
 		switch rng.Intn(8) {
 		case 0:
-			spec.shape, spec.pieces, spec.cores, spec.memory = "ensemble", 1+rng.Intn(3), 3, 3
-			spec.together = rng.Intn(2) == 0
+			spec.shape, spec.pieces, spec.cores, spec.memory = "ensemble", 1+rng.Intn(num("GANG", 3)), 3, 3
+			if rng.Intn(3) == 0 {
+				spec.crew = "ecole-meca"
+				spec.pieces = min(spec.pieces, 4)
+			}
+			switch rng.Intn(3) {
+			case 0:
+				spec.together = true
+			case 1:
+				spec.apart = spec.pieces > 1
+			}
 			spec.mark, spec.stow = 3, 1
 		case 1:
 			spec.together = true
@@ -264,7 +273,7 @@
 		k := &known{spec: spec}
 		r.jobs[spec.id] = k
 		group.Add(1)
-		delay := time.Duration(rng.Intn(45000)) * time.Millisecond
+		delay := time.Duration(rng.Intn(num("SPREAD_MS", 45000))) * time.Millisecond
 		userRng := rand.New(rand.NewSource(rng.Int63()))
 		go func() {
 			defer group.Done()
@@ -273,7 +282,7 @@
 		}()
 	}
 	if trouble {
-		r.faults(rng, begin.Add(60*time.Second), func() *worker {
+		r.faults(rng, begin.Add(time.Duration(num("FAULTS_S", 60))*time.Second), func() *worker {
 			wmu.Lock()
 			defer wmu.Unlock()
 			return workers[rng.Intn(len(workers))]
@@ -317,11 +326,11 @@
 	for time.Now().Before(until) {
 		time.Sleep(time.Duration(1000+rng.Intn(5000)) * time.Millisecond)
 		name := names[rng.Intn(len(names))]
-		span := time.Duration(1000+rng.Intn(20000)) * time.Millisecond
+		span := time.Duration(1000+rng.Intn(num("SPAN_MS", 20000))) * time.Millisecond
 		if c.hasEnded(name) {
 			continue
 		}
-		switch kind := rng.Intn(12); kind {
+		switch kind := rng.Intn(15); kind {
 		case 0, 1:
 			c.rec.logf("fault: kill %s", name)
 			c.kill(name)
@@ -379,6 +388,29 @@
 					}
 				})
 			}
+		case 12:
+			slow := time.Duration(100+rng.Intn(1500)) * time.Millisecond
+			c.rec.logf("fault: the state service takes %v for %v", slow, span)
+			c.store.mu.Lock()
+			c.store.slowness = slow
+			c.store.mu.Unlock()
+			later(span, func() {
+				c.store.mu.Lock()
+				c.store.slowness = 0
+				c.store.mu.Unlock()
+			})
+		case 13:
+			c.rec.logf("fault: late commands for %v", span)
+			c.site.mu.Lock()
+			c.site.lateCommands = 0.3
+			c.site.mu.Unlock()
+			later(span, func() { c.site.mu.Lock(); c.site.lateCommands = 0; c.site.mu.Unlock() })
+		case 14:
+			c.rec.logf("fault: late reports for %v", span)
+			c.site.mu.Lock()
+			c.site.lateReports = 0.4
+			c.site.mu.Unlock()
+			later(span, func() { c.site.mu.Lock(); c.site.lateReports = 0; c.site.mu.Unlock() })
 		case 11:
 			c.rec.logf("fault: %s frozen briefly", name)
 			c.signal(name, syscall.SIGSTOP)
--- a/review/_rig/cloud.go
+++ b/review/_rig/cloud.go
@@ -180,7 +180,9 @@
 			c.rec.logf("cloud: machine %s is deleted", id)
 			m.end()
 			delete(c.machines, id)
-			c.capacity[m.kind.Label]++
+			if _, died := c.diedAt[id]; !died {
+				c.capacity[m.kind.Label]++
+			}
 		}
 	}
 	answer(w, http.StatusOK, object{})
--- a/review/_rig/cluster.go
+++ b/review/_rig/cluster.go
@@ -123,17 +123,18 @@
 }
 
 type cluster struct {
-	rec   *recorder
-	dep   deployment
-	dir   string
-	store *store
-	cloud *cloud
-	site  *site
-	nodes map[string]*node
-	links map[string]*link // "from>to"
-	run   []string
-	users *http.Client
-	host  string // loopback address of the controllers, of their own, so that their ports stay free while they are away
+	ending sync.Once
+	rec    *recorder
+	dep    deployment
+	dir    string
+	store  *store
+	cloud  *cloud
+	site   *site
+	nodes  map[string]*node
+	links  map[string]*link // "from>to"
+	run    []string
+	users  *http.Client
+	host   string // loopback address of the controllers, of their own, so that their ports stay free while they are away
 }
 
 func newCluster(rec *recorder, dep deployment, types []machineType) *cluster {
@@ -155,6 +156,7 @@
 	c.cloud.start = func(id string, t machineType, yard string, spot bool) *worker {
 		return newWorker(c.site, id, t, yard, spot)
 	}
+	started = append(started, c)
 	meshes := map[string]string{}
 	for _, name := range dep.nodes {
 		c.site.apis[name] = freePort(c.host)
@@ -267,8 +269,12 @@
 }
 
 func (c *cluster) stop() {
+	c.ending.Do(c.endAll)
+}
+
+func (c *cluster) endAll() {
 	for _, name := range c.dep.nodes {
-		if c.nodes[name].process != nil {
+		if c.nodes[name] != nil && c.nodes[name].process != nil {
 			c.kill(name)
 		}
 	}
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -5,13 +5,25 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 )
 
 var cases = map[string]func(rec *recorder, trouble bool){}
 
-const maxSeconds = 118
+const maxSeconds = 117
+
+// started lists the clusters whose processes are ended at the end.
+var started []*cluster
+
+// num reads a number from the environment, for runs by hand.
+func num(name string, otherwise int) int {
+	if value, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return value
+	}
+	return otherwise
+}
 
 func main() {
 	if len(os.Args) != 2 || cases[os.Args[1]] == nil {
@@ -58,6 +70,9 @@
 		rec.logf("could not run: no end within %d s", maxSeconds)
 		code = 2
 	}
+	for _, c := range started {
+		c.stop()
+	}
 	rec.logf("result %d", code)
 	return code
 }
--- a/review/_rig/store.go
+++ b/review/_rig/store.go
@@ -58,20 +58,21 @@
 
 // store is the state service. Each node has an address of its own, so that one can be cut off.
 type store struct {
-	mu      sync.Mutex
-	changed *sync.Cond
-	entries map[string]storeEntry
-	ledger  uint64
-	log     []storeChange
-	grants  map[uint64]*grant
-	grantNo uint64
-	reaches map[string]reach
-	down    bool
-	limits  limits
-	reqs    bucket
-	writes  bucket
-	applied func(node string, t *storeTransaction) // nil, or called for each applied transaction, locked
-	delay   func(node string, t *storeTransaction) (before, after time.Duration)
+	mu       sync.Mutex
+	changed  *sync.Cond
+	entries  map[string]storeEntry
+	ledger   uint64
+	log      []storeChange
+	grants   map[uint64]*grant
+	grantNo  uint64
+	reaches  map[string]reach
+	down     bool
+	limits   limits
+	reqs     bucket
+	writes   bucket
+	applied  func(node string, t *storeTransaction) // nil, or called for each applied transaction, locked
+	delay    func(node string, t *storeTransaction) (before, after time.Duration)
+	slowness time.Duration // of every answer
 }
 
 const keptChanges = 10000
@@ -193,7 +194,10 @@
 	s.mu.Lock()
 	isRefused := s.down || s.reaches[node] == refused
 	isThrottled := !isRefused && !s.reqs.take(s.limits.rps, 1)
+	slowness := s.slowness
 	s.mu.Unlock()
+	time.Sleep(slowness / 2)
+	defer time.Sleep(slowness / 2)
 	switch {
 	case isRefused:
 		answer(w, http.StatusServiceUnavailable, object{"error": "trouble"})
--- a/review/_rig/worker.go
+++ b/review/_rig/worker.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"math/rand"
 	"net"
 	"net/http"
@@ -60,6 +62,8 @@
 	launches []launchEvent
 	onLaunch func(e launchEvent)
 	onArrive func(w *worker, t *task)
+	// Shares of direct commands that are held up, and of reports of which a copy arrives again.
+	lateCommands, lateReports float64
 	// reachable reports whether a worker reaches a node.
 	cut func(workerID, node string) bool
 }
@@ -248,6 +252,7 @@
 		Orders  []order `cbor:"orders"`
 		Foreman string  `cbor:"foreman"`
 	}
+	w.site.copyLater(body)
 	status, _ := call(w.client, http.MethodPost, "http://"+w.site.apis[node]+"/v1/report", body, &response, 4*time.Second)
 	w.mu.Lock()
 	isDeaf := w.deaf
@@ -299,6 +304,12 @@
 }
 
 func (w *worker) handle(out http.ResponseWriter, r *http.Request) {
+	content, _ := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+	if held := w.site.holdCommand(); held > 0 && r.URL.Path == "/orders" {
+		time.Sleep(held) // held up on its way, and then carried out once
+		out = lost{}
+		r = r.Clone(context.Background())
+	}
 	for {
 		w.mu.Lock()
 		if !w.hung && !w.deaf {
@@ -325,7 +336,7 @@
 		Shift  *uint64 `cbor:"shift"`
 		Orders []order `cbor:"orders"`
 	}
-	if err := readBody(r, &request); err != nil || request.Baton == nil || request.Shift == nil {
+	if err := decode(content, &request); err != nil || request.Baton == nil || request.Shift == nil {
 		answer(out, http.StatusBadRequest, object{"error": "malformed"})
 		return
 	}
@@ -538,6 +549,36 @@
 	t.runUntil = time.Now().Add(time.Duration(runS * float64(time.Second)))
 }
 
+// lost is an answer that does not arrive.
+type lost struct{}
+
+func (lost) Header() http.Header            { return http.Header{} }
+func (lost) Write(body []byte) (int, error) { return len(body), nil }
+func (lost) WriteHeader(int)                {}
+
+// holdCommand returns for how long a direct command is held up on its way.
+func (s *site) holdCommand() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if rand.Float64() >= s.lateCommands {
+		return 0
+	}
+	return time.Duration(2000+rand.Intn(14000)) * time.Millisecond
+}
+
+// copyLater sends a copy of a report again some time later; nobody hears its answer.
+func (s *site) copyLater(body object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if rand.Float64() >= s.lateReports {
+		return
+	}
+	node := s.apis[s.nodes[rand.Intn(len(s.nodes))]]
+	time.AfterFunc(time.Duration(2000+rand.Intn(25000))*time.Millisecond, func() {
+		_, _ = call(&http.Client{}, http.MethodPost, "http://"+node+"/v1/report", body, nil, 4*time.Second)
+	})
+}
+
 // gangComplete reports whether all tasks of the attempt have their images; they start together.
 func (s *site) gangComplete(t *task) bool {
 	s.mu.Lock()
