--- a/review/_rig/case_gangs.go
+++ b/review/_rig/case_gangs.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-func init() { cases["5"] = rivalGangs }
+func init() { cases["gangs"] = rivalGangs }
 
 // rivalGangs: several linked load tests, each of which needs all turbines, arrive together. The
 // turbines are spread over the parts of the cluster.
--- a/review/_rig/case_headroom.go
+++ b/review/_rig/case_headroom.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-func init() { cases["7"] = headroom }
+func init() { cases["8"] = headroom }
 
 // headroom: the two small machines die, the cloud has no others, and an array waits beside a large
 // machine that is empty.
--- a/review/_rig/case_sick.go
+++ b/review/_rig/case_sick.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-func init() { cases["8"] = healedMachine }
+func init() { cases["healed"] = healedMachine }
 
 // healedMachine: the one machine that a job may use fails the tasks that start on it for four seconds
 // and is sound from then on.
--- a/review/_rig/main.go
+++ b/review/_rig/main.go
@@ -82,5 +82,8 @@
 	if path := os.Getenv("REVIEW_RECORD"); path != "" {
 		return path
 	}
+	if _, err := os.Stat(filepath.Join("review", name)); err != nil {
+		return filepath.Join(os.TempDir(), "review-rig-"+name+".txt") // a play without a folder
+	}
 	return filepath.Join("review", name, "record.txt")
 }
--- a/review/_rig/worker.go
+++ b/review/_rig/worker.go
@@ -174,6 +174,8 @@
 	return ids
 }
 
+func (j *jobSpec) task(index int) string { return j.id + "/" + strconv.Itoa(index) }
+
 func taskID(piece string, attempt uint64) string {
 	return piece + "#" + strconv.FormatUint(attempt, 10)
 }
