--- a/review/_rig/case_swarm.go
+++ b/review/_rig/case_swarm.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-func init() { cases["4"] = hiddenGang }
+func init() { cases["7"] = hiddenGang }
 
 // partOfTeam is the part of the cluster that has all jobs of a team with a limit. It is the project's
 // own rule and is used only to aim the swarm.
--- a/review/_rig/chaos.go
+++ b/review/_rig/chaos.go
@@ -133,8 +133,11 @@
 		r.rec.violation("wrong_place: %s on a spot machine", t.piece)
 	}
 	r.mu.Lock()
-	k := r.jobs[t.job]
-	told := k.abortedAt
+	k := r.jobs[t.piece0[:strings.LastIndexByte(t.piece0, '/')]]
+	var told time.Time
+	if k != nil {
+		told = k.abortedAt
+	}
 	r.mu.Unlock()
 	if !told.IsZero() && time.Since(told).Seconds() > r.dep.cancelS {
 		r.rec.violation("ran_cancelled: %s starts %.1f s after its user was told", t.piece, time.Since(told).Seconds())
--- a/review/_rig/cluster.go
+++ b/review/_rig/cluster.go
@@ -44,6 +44,17 @@
 	}
 }
 
+// licence is a deployment like that of the licence office: 3 controllers, lease 26 s.
+func licence() deployment {
+	return deployment{
+		nodes: []string{"kiln-0", "kiln-1", "kiln-2"}, areas: []string{"coast-room", "delta-room", "coast-room"},
+		zones:   []string{"coast-room", "delta-room"},
+		teams:   "[[deployment.teams]]\nname = \"licensing-desk\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n",
+		reportS: 3, leaseS: 26, gangWait: 35, gangPeer: 8, cancelS: 51,
+		state: limits{rps: 100, writeRPS: 30, valueKB: 8, txnOps: 24}, cloudRPS: 8, listLag: 5, sockets: 2500, ramMB: 234,
+	}
+}
+
 // link is a proxy between two controllers; it can be cut.
 type link struct {
 	mu     sync.Mutex
@@ -100,16 +111,25 @@
 		return
 	}
 	defer out.Close()
+	go func() {
+		defer in.Close()
+		l.copy(in, out)
+	}()
+	l.copy(out, in)
+}
+
+// copy forwards one direction; what is sent during a cut is lost.
+func (l *link) copy(to, from net.Conn) {
 	buffer := make([]byte, 32<<10)
 	for {
-		n, err := in.Read(buffer)
+		n, err := from.Read(buffer)
 		if err != nil {
 			return
 		}
 		if l.silent() {
-			continue // what is sent during the cut is lost
+			continue
 		}
-		if _, err := out.Write(buffer[:n]); err != nil {
+		if _, err := to.Write(buffer[:n]); err != nil {
 			return
 		}
 	}
@@ -200,7 +220,11 @@
 	fmt.Fprintf(&text, "[deployment.workers]\nreport_s = %.3f\nlease_s = %.3f\ngang_wait_s = %.3f\ngang_peer_s = %.3f\ncancel_s = %.3f\n\n", d.reportS, d.leaseS, d.gangWait, d.gangPeer, d.cancelS)
 	fmt.Fprintf(&text, "[deployment.state]\nrps = %.1f\nwrite_rps = %.1f\nvalue_kb = %.1f\ntxn_ops = %d\n\n", d.state.rps, d.state.writeRPS, d.state.valueKB, d.state.txnOps)
 	fmt.Fprintf(&text, "[deployment.cloud]\nrps = %.1f\nlist_lag_s = %.1f\n\n[deployment.machine_limits]\ncore_share = 0.144\nram_mb = %.1f\nsockets = %d\n", d.cloudRPS, d.listLag, d.ramMB, d.sockets)
-	path := filepath.Join(c.dir, name+".toml")
+	folder := filepath.Join(c.dir, name)
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		cannotRun("%v", err)
+	}
+	path := filepath.Join(folder, "settings.toml")
 	if err := os.WriteFile(path, []byte(text.String()), 0o600); err != nil {
 		cannotRun("%v", err)
 	}
--- a/review/_rig/types.go
+++ b/review/_rig/types.go
@@ -12,6 +12,7 @@
 
 // licenceTypes are machine types of the licence office.
 func licenceTypes() []machineType {
+	yards := []string{"coast-room", "delta-room"}
 	return []machineType{
 		{Label: "skiff", Cores: 4, MemoryGb: 16, LocalGb: 50, FetchGbPerS: 0.4, Rate: 0.3, SpotPrice: 0.1, BootS: 25, Yards: yards},
 		{Label: "shrimper", Cores: 32, MemoryGb: 128, LocalGb: 80, FetchGbPerS: 1, Rate: 2.51, SpotPrice: 0.8, BootS: 40, Yards: yards},
--- a/review/_rig/worker.go
+++ b/review/_rig/worker.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"curlewspool/internal/remotelease"
 )
 
 // jobSpec is a job as users submit it, with how long its tasks really run.
@@ -77,7 +79,8 @@
 }
 
 type task struct {
-	piece    string
+	piece    string // as commands name it
+	piece0   string // as its user knows it
 	job      string
 	index    int
 	attempt  uint64
@@ -112,12 +115,13 @@
 	lastReport        time.Time
 	client            *http.Client
 	listener          net.Listener
+	nodes             []string // the controllers that it knows
 }
 
 func newWorker(s *site, id string, kind machineType, yard string, spot bool) *worker {
 	w := &worker{
 		id: id, kind: kind, yard: yard, spot: spot, site: s, tasks: map[string]*task{}, images: map[string]bool{},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}, nodes: s.nodes,
 	}
 	w.listener = listen("127.0.0.1")
 	w.address = w.listener.Addr().String()
@@ -137,7 +141,7 @@
 		return
 	}
 	w.up, w.shift, w.leaseFrom = true, 1, time.Now()
-	w.node = rand.Intn(len(w.site.nodes))
+	w.node = rand.Intn(len(w.nodes))
 	serve(w.listener, http.HandlerFunc(w.handle))
 	go w.loop()
 	go w.work()
@@ -235,7 +239,7 @@
 	w.checkLease()
 	w.changed, w.lastReport = false, time.Now()
 	sentAt, shift := time.Now(), w.shift
-	node := w.site.nodes[w.node%len(w.site.nodes)]
+	node := w.nodes[w.node%len(w.nodes)]
 	body := w.report()
 	w.mu.Unlock()
 	next := func(to int, wait time.Duration) time.Duration {
@@ -285,7 +289,7 @@
 		interval := w.site.reportS * (0.75 + rand.Float64()/2)
 		return time.Duration(interval * float64(time.Second))
 	case status == http.StatusMisdirectedRequest:
-		for i, name := range w.site.nodes {
+		for i, name := range w.nodes {
 			if name == response.Foreman && name != node {
 				return next(i, 50*time.Millisecond)
 			}
@@ -379,13 +383,18 @@
 func (w *worker) launch(o order, via string) {
 	s := w.site
 	slash := strings.LastIndexByte(o.Piece, '/')
-	t := &task{piece: o.Piece, attempt: o.Try, w: w, stateAt: time.Now()}
+	t := &task{piece: o.Piece, piece0: o.Piece, attempt: o.Try, w: w, stateAt: time.Now()}
 	w.tasks[taskID(o.Piece, o.Try)] = t
 	s.mu.Lock()
 	if slash > 0 {
 		t.job = o.Piece[:slash]
 		t.index, _ = strconv.Atoi(o.Piece[slash+1:])
 		t.job0 = s.jobs[t.job]
+		if _, key, ok := remotelease.ParseJobID(t.job); ok { // a task of a partner's job
+			t.job0 = s.jobs[key.Job]
+			t.index += key.FirstTask
+			t.piece0 = key.Job + "/" + strconv.Itoa(t.index)
+		}
 	}
 	event := launchEvent{time.Now(), w.id, o.Piece, o.Try, via}
 	s.launches = append(s.launches, event)
@@ -448,22 +457,22 @@
 func (w *worker) arrive(t *task) {
 	s := w.site
 	s.mu.Lock()
-	if s.on[t.piece] == nil {
-		s.on[t.piece] = map[string]bool{}
+	if s.on[t.piece0] == nil {
+		s.on[t.piece0] = map[string]bool{}
 	}
 	var others []string
-	for other := range s.on[t.piece] {
+	for other := range s.on[t.piece0] {
 		others = append(others, other)
 	}
-	s.on[t.piece][w.id] = true
+	s.on[t.piece0][w.id] = true
 	t.isOn = true
 	s.mu.Unlock()
-	s.rec.logf("worker %s: %s try %d is on the machine", w.id, t.piece, t.attempt)
+	s.rec.logf("worker %s: %s try %d is on the machine", w.id, t.piece0, t.attempt)
 	if s.onArrive != nil {
 		s.onArrive(w, t)
 	}
 	if len(others) > 0 {
-		s.rec.violation("ran_twice: %s starts on %s while it is on %v", t.piece, w.id, others)
+		s.rec.violation("ran_twice: %s starts on %s while it is on %v", t.piece0, w.id, others)
 	}
 }
 
@@ -474,9 +483,9 @@
 	t.isOn = false
 	s := w.site
 	s.mu.Lock()
-	delete(s.on[t.piece], w.id)
+	delete(s.on[t.piece0], w.id)
 	s.mu.Unlock()
-	s.rec.logf("worker %s: %s try %d has left (%s)", w.id, t.piece, t.attempt, why)
+	s.rec.logf("worker %s: %s try %d has left (%s)", w.id, t.piece0, t.attempt, why)
 }
 
 // work advances the tasks.
@@ -529,7 +538,7 @@
 			return
 		}
 		w.site.mu.Lock()
-		w.site.done[t.piece] = true
+		w.site.done[t.piece0] = true
 		w.site.mu.Unlock()
 		w.exit(t, "done", false)
 	case t.state == "flushing" && now.After(t.runUntil):
@@ -541,7 +550,7 @@
 	t.state, t.stateAt = "running", time.Now()
 	runS := t.job0.runS
 	w.site.mu.Lock()
-	if w.site.done[t.piece] {
+	if w.site.done[t.piece0] {
 		runS = 0
 	}
 	w.site.mu.Unlock()
