--- a/review/_rig/partners.go
+++ b/review/_rig/partners.go
@@ -108,7 +108,7 @@
 		k := &known{spec: spec}
 		r.jobs[spec.id] = k
 		group.Add(1)
-		delay := time.Duration(rng.Intn(30000)) * time.Millisecond
+		delay := time.Duration(rng.Intn(num("SPREAD_MS", 30000))) * time.Millisecond
 		userRng := rand.New(rand.NewSource(rng.Int63()))
 		go func() {
 			defer group.Done()
@@ -117,12 +117,12 @@
 		}()
 	}
 	if trouble {
-		faultsEnd := begin.Add(60 * time.Second)
+		faultsEnd := begin.Add(time.Duration(num("FAULTS_S", 60)) * time.Second)
 		for time.Now().Before(faultsEnd) {
 			time.Sleep(time.Duration(1000+rng.Intn(4000)) * time.Millisecond)
 			c := []*cluster{west, east}[rng.Intn(2)]
 			name := c.dep.nodes[rng.Intn(3)]
-			span := time.Duration(2000+rng.Intn(25000)) * time.Millisecond
+			span := time.Duration(2000+rng.Intn(num("SPAN_MS", 25000))) * time.Millisecond
 			if c.hasEnded(name) {
 				continue
 			}
