--- a/review/_rig/case_cut.go
+++ b/review/_rig/case_cut.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-func init() { cases["8"] = startAfterCancel }
+func init() { cases["cut"] = startAfterCancel }
 
 // startAfterCancel: the controller that answers a worker is cut from the state service and from the
 // other controllers. The job that the worker runs is cancelled through another controller. From then on
--- a/review/_rig/case_shadow.go
+++ b/review/_rig/case_shadow.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-func init() { cases["shadow"] = keptForLater }
+func init() { cases["5"] = keptForLater }
 
 // keptForLater: a gang of two tasks waits, as one of the two turbines of its part runs a service. The
 // third turbine stops. The other turbine is empty, and an array waits beside it.
--- a/review/_rig/case_suspect.go
+++ b/review/_rig/case_suspect.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-func init() { cases["5"] = suspectStays }
+func init() { cases["6"] = suspectStays }
 
 // suspectStays: two machines fail every task that starts on them, and then stop. The job whose tasks
 // failed there stays in their part of the cluster, although a turbine in another part has room.
