--- a/review/_rig/case_daemon.go
+++ b/review/_rig/case_daemon.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-func init() { cases["8"] = lostReplica }
+func init() { cases["replica"] = lostReplica }
 
 // lostReplica: a service of two replicas runs on the two turbines of one part of the cluster. One of
 // them stops. A third turbine, in another part, is empty.
--- a/review/_rig/cluster.go
+++ b/review/_rig/cluster.go
@@ -178,9 +178,9 @@
 	}
 	started = append(started, c)
 	meshes := map[string]string{}
-	for _, name := range dep.nodes {
-		c.site.apis[name] = freePort(c.host)
-		meshes[name] = freePort(c.host)
+	ports := freePorts(c.host, 2*len(dep.nodes))
+	for i, name := range dep.nodes {
+		c.site.apis[name], meshes[name] = ports[2*i], ports[2*i+1]
 	}
 	for i, name := range dep.nodes {
 		c.writeSettings(i, name, meshes)
--- a/review/_rig/partners.go
+++ b/review/_rig/partners.go
@@ -28,8 +28,8 @@
 	}
 	listens := map[string]string{}
 	for _, c := range []*cluster{west, east} {
-		for _, name := range c.dep.nodes {
-			listens[name] = freePort(c.host)
+		for i, address := range freePorts(c.host, len(c.dep.nodes)) {
+			listens[c.dep.nodes[i]] = address
 		}
 	}
 	for i, c := range []*cluster{west, east} {
--- a/review/_rig/wire.go
+++ b/review/_rig/wire.go
@@ -58,11 +58,15 @@
 	return listener
 }
 
-// freePort returns an address that was free a moment ago.
-func freePort(host string) string {
-	listener := listen(host)
-	defer listener.Close()
-	return listener.Addr().String()
+// freePorts returns different addresses that were free a moment ago.
+func freePorts(host string, count int) []string {
+	var addresses []string
+	for range count {
+		listener := listen(host)
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
 }
 
 func serve(listener net.Listener, handler http.Handler) {
